--- /dev/null
+++ b/magnoliafork/__init__.py
@@ -0,0 +1,3 @@
+"""Configuration distribution system for a service mesh."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/magnoliafork/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Limits, ramps and the at-most-once ledger of a receiver."""
--- /dev/null
+++ b/magnoliafork/balance/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of instances, ejection and retry budgets."""
--- /dev/null
+++ b/magnoliafork/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Membership and distribution of versions between nodes."""
--- /dev/null
+++ b/magnoliafork/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Functions behind the command-line tool."""
--- /dev/null
+++ b/magnoliafork/model/__init__.py
@@ -0,0 +1,1 @@
+"""Immutable data classes shared by every part of the system."""
--- /dev/null
+++ b/magnoliafork/model/request.py
@@ -0,0 +1,99 @@
+"""Requests of callers and their three distinguishable outcomes."""
+
+import dataclasses
+import enum
+
+from magnoliafork.model.rules import Priority
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class NotRunReason(enum.StrEnum):
+    """Why a request was certainly not run."""
+
+    NO_ROUTE = "no_route"
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    NO_INSTANCE = "no_instance"
+    OVERLOADED = "overloaded"
+    ZONE_OUT = "zone_out"
+    DRAINED = "drained"
+    LEAVING = "leaving"
+    DEADLINE = "deadline"
+    UNREACHABLE = "unreachable"
+    UPSTREAM_REFUSED = "upstream_refused"
+    REFUSED_FOR_EVER = "refused_for_ever"
+    NOT_READY = "not_ready"
+    STALE_VIEW = "stale_view"
+    KEY_REUSED = "key_reused"
+    MOVED = "moved"
+
+
+class UnknownReason(enum.StrEnum):
+    """Why nobody can tell whether a request was run."""
+
+    NO_REPLY = "no_reply"
+    RECEIVER_RESTARTED = "receiver_restarted"
+    UPSTREAM_BROKE = "upstream_broke"
+    UPSTREAM_TIMEOUT = "upstream_timeout"
+    HOME_CHANGED = "home_changed"
+    ANSWER_FORGOTTEN = "answer_forgotten"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A request on its way to an upstream.
+
+    Attributes:
+        request_id: 128-bit id in hexadecimal; one id runs at most once per
+            receiver incarnation when the request is not repeatable.
+        service: Service chosen by the route.
+        method: HTTP method.
+        path: Path with its query string.
+        headers: End-to-end headers.
+        body: Whole body.
+        repeatable: Whether the request may run more than once.
+        priority: Priority class.
+        traceparent: W3C trace context, or an empty string.
+        is_keyed: Whether the id comes from the caller's idempotency key.
+        is_first_attempt: Whether the caller never sent this key before.
+    """
+
+    request_id: str
+    service: str
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    repeatable: bool
+    priority: Priority
+    traceparent: str
+    is_keyed: bool = False
+    is_first_attempt: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """The upstream's whole answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRun:
+    """The request was not run and never will be under this id."""
+
+    reason: NotRunReason
+    retry_after_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OutcomeUnknown:
+    """The request may have run."""
+
+    reason: UnknownReason
+
+
+Outcome = Answered | NotRun | OutcomeUnknown
--- /dev/null
+++ b/magnoliafork/model/snapshot.py
@@ -0,0 +1,25 @@
+"""The configuration that is in force on a node."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from magnoliafork.model.manifest import Manifest
+from magnoliafork.model.rules import RuleSet
+from magnoliafork.model.version import Version
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """One complete, validated configuration version.
+
+    Attributes:
+        version: Version of the manifest.
+        manifest: Manifest that the parts match.
+        parts: Part contents by digest, kept to serve peers.
+        rules: Rules decoded from the parts.
+    """
+
+    version: Version
+    manifest: Manifest
+    parts: Mapping[str, bytes]
+    rules: RuleSet
--- /dev/null
+++ b/magnoliafork/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics, traces and the admin listener."""
--- /dev/null
+++ b/magnoliafork/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Path of a request through sender and receiver."""
--- /dev/null
+++ b/magnoliafork/rules/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' rules file: reading, checking and building."""
--- /dev/null
+++ b/magnoliafork/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a node."""
--- /dev/null
+++ b/magnoliafork/snapshot/__init__.py
@@ -0,0 +1,1 @@
+"""Assembly of snapshots and the one in force on a node."""
--- /dev/null
+++ b/magnoliafork/source/__init__.py
@@ -0,0 +1,1 @@
+"""Reading of the platform: configuration service and instance list."""
--- /dev/null
+++ b/magnoliafork/source/api.py
@@ -0,0 +1,59 @@
+"""Border to the platform's read-only configuration service."""
+
+import dataclasses
+from typing import Protocol
+
+MANIFEST_KEY = "manifest"
+INSTANCES_KEY = "instances"
+
+
+def part_key(digest: str) -> str:
+    """Returns the key under which a part is published.
+
+    >>> part_key("ab12")
+    'parts/ab12'
+    """
+    return f"parts/{digest}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SourceValue:
+    """A value and the revision of the configuration service."""
+
+    content: bytes
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SourceMissing:
+    """The key has no value."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SourceUnchanged:
+    """A watch ended without a change."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SourceUnavailable:
+    """The configuration service did not answer."""
+
+    detail: str
+
+
+ReadOutcome = SourceValue | SourceMissing | SourceUnavailable
+WatchOutcome = ReadOutcome | SourceUnchanged
+
+
+class ConfigSource(Protocol):
+    """Reads and watches values; nothing can be written."""
+
+    async def read(self, key: str) -> ReadOutcome:
+        """Reads one value. Costs one read of the shared budget."""
+        ...
+
+    async def watch(
+        self, key: str, after_revision: int, wait_s: float
+    ) -> WatchOutcome:
+        """Waits for a revision above the given one. Costs one read."""
+        ...
--- /dev/null
+++ b/magnoliafork/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and for upstreams."""
--- /dev/null
+++ b/magnoliafork/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, laid out like the package."""
--- /dev/null
+++ b/magnoliafork/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between nodes and the connections that carry them."""
--- /dev/null
+++ b/magnoliafork/wire/api.py
@@ -0,0 +1,112 @@
+"""What the rest of a node needs from the connections to its peers."""
+
+import dataclasses
+from typing import Protocol
+
+from magnoliafork.wire import messages
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkFailure:
+    """A call got no reply.
+
+    Attributes:
+        was_sent: False when no byte of the request reached a socket, so that
+            it was certainly not run.
+        incarnation: Incarnation of the receiver that the connection led to,
+            0 when there was none.
+        detail: Cause for logs.
+    """
+
+    was_sent: bool
+    incarnation: int
+    detail: str
+
+
+class PeerCalls(Protocol):
+    """Sends calls to peers and waits for their replies."""
+
+    async def call(
+        self,
+        instance_id: str,
+        request: messages.CallRequest,
+        timeout_s: float,
+    ) -> messages.CallReply | LinkFailure:
+        """Sends one request; assigns the stream id itself.
+
+        Cancelling the calling task sends `CallCancel`.
+        """
+        ...
+
+    async def fence(
+        self,
+        instance_id: str,
+        request_id: str,
+        incarnation: int,
+        timeout_s: float,
+        moved_to: str = "",
+    ) -> messages.StreamReply | LinkFailure:
+        """Asks what became of a request and fences it.
+
+        Uses a connection that is newer than any failed one. An incarnation
+        of 0 means whichever the receiver has.
+        """
+        ...
+
+
+class ControlLinks(Protocol):
+    """Control connections between neighbours of the overlay."""
+
+    def neighbours(self) -> tuple[str, ...]:
+        """Returns the ids of the peers with an open control connection."""
+        ...
+
+    def send(self, instance_id: str, message: messages.ControlMessage) -> bool:
+        """Queues a message; false when the peer is gone or its buffer full."""
+        ...
+
+    def set_targets(self, instance_ids: tuple[str, ...]) -> None:
+        """Sets the peers to which control connections are kept open."""
+        ...
+
+
+class ControlHandler(Protocol):
+    """Receives control messages and connection changes."""
+
+    def on_control(
+        self, instance_id: str, message: messages.ControlMessage
+    ) -> None:
+        """Handles one control message of a peer."""
+        ...
+
+    def on_link_up(self, hello: messages.Hello) -> None:
+        """Handles a new control connection."""
+        ...
+
+    def on_link_down(self, instance_id: str) -> None:
+        """Handles the loss of a control connection."""
+        ...
+
+
+class CallHandler(Protocol):
+    """Serves the calls of peers on the receiver side."""
+
+    async def on_call(
+        self, sender_id: str, request: messages.CallRequest
+    ) -> messages.CallReply:
+        """Runs one request; cancelled when the sender cancels it."""
+        ...
+
+    async def on_fence(
+        self, sender_id: str, fence: messages.CallFence
+    ) -> messages.StreamReply:
+        """Answers for one request or refuses it for ever."""
+        ...
+
+
+class AddressBook(Protocol):
+    """Finds the address of a peer."""
+
+    def address(self, instance_id: str) -> tuple[str, int] | None:
+        """Returns the peer's IP address and port, or None if unknown."""
+        ...
--- /dev/null
+++ b/magnoliafork/wire/messages.py
@@ -0,0 +1,251 @@
+"""Typed messages between nodes.
+
+Every class has a thrift structure of the same name and the same fields in
+`peer.thrift`; nested lists of entries are the only difference.
+"""
+
+import dataclasses
+import enum
+
+
+class FenceState(enum.StrEnum):
+    """What a receiver knows about a fenced request."""
+
+    NEVER_RAN = "never_ran"
+    FORGOTTEN = "forgotten"
+    OTHER_INCARNATION = "other_incarnation"
+
+
+class LinkPurpose(enum.StrEnum):
+    """What a connection between two nodes carries."""
+
+    CONTROL = "control"
+    CALLS = "calls"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hello:
+    """First message in each direction of a connection."""
+
+    protocol: int
+    instance_id: str
+    incarnation: int
+    link_generation: int
+    version_number: int
+    version_digest: str
+    purpose: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Shows that a peer is alive and which state it holds."""
+
+    is_reply: bool
+    version_number: int
+    version_digest: str
+    membership_digest: str
+    active: int
+    limit: int
+    sequence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announce:
+    """Tells that the sender has a version in force."""
+
+    version_number: int
+    version_digest: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DeltaRequest:
+    """Asks for the receiver's version as a change from a base version."""
+
+    transfer_id: int
+    base_number: int
+    base_digest: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartEntry:
+    """One entry of a manifest."""
+
+    name: str
+    digest: str
+    size_bytes: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DeltaReply:
+    """Changed manifest entries and part contents.
+
+    A full reply lists every entry of the manifest in `changed`. Contents may
+    be split over several replies; `has_more` is false on the last one.
+    """
+
+    transfer_id: int
+    is_busy: bool
+    is_full: bool
+    format: int
+    version_number: int
+    version_digest: str
+    changed: tuple[PartEntry, ...]
+    removed: tuple[str, ...]
+    contents: tuple[bytes, ...]
+    has_more: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberEntry:
+    """One row of the membership table."""
+
+    instance_id: str
+    service_name: str
+    zone: str
+    region: str
+    host: str
+    peer_port: int
+    incarnation: int
+    state: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MembershipUpdate:
+    """Changed rows of the membership table, or all of them."""
+
+    members: tuple[MemberEntry, ...]
+    is_full: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MembershipRequest:
+    """Asks for the whole membership table."""
+
+    membership_digest: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeRequest:
+    """Asks a peer to try to reach a third node."""
+
+    probe_id: int
+    target_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeReply:
+    """Result of an indirect probe."""
+
+    probe_id: int
+    target_id: str
+    is_reachable: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallRequest:
+    """A request for the receiver's upstream.
+
+    `is_keyed` tells that the request id comes from the caller's idempotency
+    key, so that other instances may have to be fenced first;
+    `is_first_attempt` that the caller has never sent this key before.
+    """
+
+    stream_id: int
+    request_id: str
+    service_name: str
+    method: str
+    path: str
+    header_names: tuple[str, ...]
+    header_values: tuple[str, ...]
+    body: bytes
+    repeatable: bool
+    priority: int
+    traceparent: str
+    remaining_ms: int
+    is_keyed: bool
+    is_first_attempt: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallAnswer:
+    """The upstream's whole answer."""
+
+    stream_id: int
+    status: int
+    header_names: tuple[str, ...]
+    header_values: tuple[str, ...]
+    body: bytes
+    active: int
+    limit: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallRefused:
+    """The request was not run here.
+
+    With the reason `moved`, `moved_to` names the instance that has taken the
+    request over; else it is empty.
+    """
+
+    stream_id: int
+    reason: str
+    retry_after_ms: int
+    active: int
+    limit: int
+    moved_to: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallUnknown:
+    """The receiver cannot tell whether the upstream ran the request."""
+
+    stream_id: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallCancel:
+    """The sender no longer wants the answer."""
+
+    stream_id: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallFence:
+    """Asks the receiver to answer for a request or refuse it for ever.
+
+    The reply is `CallAnswer`, `CallRefused` or `CallUnknown` when the request
+    has an outcome (a running one is waited for), else `CallFenceReply`. With
+    `moved_to`, a request that never ran here is bound to that instance from
+    now on; else it is refused for ever.
+    """
+
+    stream_id: int
+    request_id: str
+    incarnation: int
+    remaining_ms: int
+    moved_to: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallFenceReply:
+    """What the receiver knows about a request without an outcome."""
+
+    stream_id: int
+    state: str
+
+
+CallReply = CallAnswer | CallRefused | CallUnknown
+StreamReply = CallReply | CallFenceReply
+ControlMessage = (
+    Heartbeat
+    | Announce
+    | DeltaRequest
+    | DeltaReply
+    | MembershipUpdate
+    | MembershipRequest
+    | ProbeRequest
+    | ProbeReply
+)
+StreamMessage = CallRequest | CallCancel | CallFence
+Message = Hello | ControlMessage | StreamMessage | StreamReply
--- /dev/null
+++ b/magnoliafork/wire/peer.thrift
@@ -0,0 +1,140 @@
+// Messages between nodes. Field numbers are never reused.
+
+struct Hello {
+    1: i32 protocol
+    2: string instance_id
+    3: i64 incarnation
+    4: i64 link_generation
+    5: i64 version_number
+    6: string version_digest
+    7: string purpose
+}
+
+struct Heartbeat {
+    1: bool is_reply
+    2: i64 version_number
+    3: string version_digest
+    4: string membership_digest
+    5: i32 active
+    6: i32 limit
+    7: i64 sequence
+}
+
+struct Announce {
+    1: i64 version_number
+    2: string version_digest
+}
+
+struct DeltaRequest {
+    1: i64 transfer_id
+    2: i64 base_number
+    3: string base_digest
+}
+
+struct PartEntry {
+    1: string name
+    2: string digest
+    3: i32 size_bytes
+}
+
+struct DeltaReply {
+    1: i64 transfer_id
+    2: bool is_busy
+    3: bool is_full
+    4: i32 format
+    5: i64 version_number
+    6: string version_digest
+    7: list<PartEntry> changed
+    8: list<string> removed
+    9: list<binary> contents
+    10: bool has_more
+}
+
+struct MemberEntry {
+    1: string instance_id
+    2: string service_name
+    3: string zone
+    4: string region
+    5: string host
+    6: i32 peer_port
+    7: i64 incarnation
+    8: i32 state
+}
+
+struct MembershipUpdate {
+    1: list<MemberEntry> members
+    2: bool is_full
+}
+
+struct MembershipRequest {
+    1: string membership_digest
+}
+
+struct ProbeRequest {
+    1: i64 probe_id
+    2: string target_id
+}
+
+struct ProbeReply {
+    1: i64 probe_id
+    2: string target_id
+    3: bool is_reachable
+}
+
+struct CallRequest {
+    1: i64 stream_id
+    2: string request_id
+    3: string service_name
+    4: string method
+    5: string path
+    6: list<string> header_names
+    7: list<string> header_values
+    8: binary body
+    9: bool repeatable
+    10: i32 priority
+    11: string traceparent
+    12: i32 remaining_ms
+    13: bool is_keyed
+    14: bool is_first_attempt
+}
+
+struct CallAnswer {
+    1: i64 stream_id
+    2: i32 status
+    3: list<string> header_names
+    4: list<string> header_values
+    5: binary body
+    6: i32 active
+    7: i32 limit
+}
+
+struct CallRefused {
+    1: i64 stream_id
+    2: string reason
+    3: i32 retry_after_ms
+    4: i32 active
+    5: i32 limit
+    6: string moved_to
+}
+
+struct CallUnknown {
+    1: i64 stream_id
+    2: string reason
+}
+
+struct CallCancel {
+    1: i64 stream_id
+}
+
+struct CallFence {
+    1: i64 stream_id
+    2: string request_id
+    3: i64 incarnation
+    4: i32 remaining_ms
+    5: string moved_to
+}
+
+struct CallFenceReply {
+    1: i64 stream_id
+    2: string state
+}
