Add connections between nodes with silence detection

Cause: calls and control messages need connections that survive silent links, late replies and storms of joiners. Change: Link, PeerPool, PeerServer and ControlPlane, tests on loopback. Found while testing: a live link was closed as silent when the reply arrived in the same clock reading as the probe; the comparison now includes equality.

--- a/magnoliafork/tests/virtual_time.py
+++ b/magnoliafork/tests/virtual_time.py
@@ -11,6 +11,8 @@
 
 T = TypeVar("T")
 
+SOCKET_GRACE_S = 0.002
+
 
 class _JumpingSelector(selectors.SelectSelector):
     """Returns at once and moves the clock instead of waiting."""
@@ -23,6 +25,9 @@
         self, timeout: float | None = None
     ) -> list[tuple[selectors.SelectorKey, int]]:
         events = super().select(0)
+        if not events and len(self.get_map()) > 1 and timeout != 0:
+            # Bytes on loopback sockets may still be on their way.
+            events = super().select(SOCKET_GRACE_S)
         if not events and timeout is None:
             raise RuntimeError("the test waits for something without a timer")
         if not events and timeout is not None:
--- /dev/null
+++ b/magnoliafork/tests/wire/test_pool.py
@@ -0,0 +1,185 @@
+"""Calls between two nodes over loopback while connections misbehave."""
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from magnoliafork.model.version import NO_VERSION
+from magnoliafork.tests import virtual_time
+from magnoliafork.wire import api, messages
+from magnoliafork.wire.control import ControlPlane
+from magnoliafork.wire.identity import NodeIdentity
+from magnoliafork.wire.link import LinkTraffic
+from magnoliafork.wire.pool import PeerPool
+from magnoliafork.wire.server import PeerServer
+
+REQUEST = messages.CallRequest(
+    0, "r1", "s", "GET", "/", (), (), b"", True, 1, "", 900, False, False
+)
+
+
+class _Handler:
+    """Answers calls after a delay chosen by the request's path."""
+
+    def __init__(self) -> None:
+        self.cancelled: list[str] = []
+
+    async def on_call(
+        self, sender_id: str, request: messages.CallRequest
+    ) -> messages.CallReply:
+        try:
+            await asyncio.sleep(float(request.path))
+        except asyncio.CancelledError:
+            self.cancelled.append(request.request_id)
+            raise
+        body = request.request_id.encode()
+        return messages.CallAnswer(0, 200, (), (), body, 1, 2)
+
+    async def on_fence(
+        self, sender_id: str, fence: messages.CallFence
+    ) -> messages.StreamReply:
+        return messages.CallFenceReply(0, messages.FenceState.NEVER_RAN)
+
+
+class _Fleet(dict[str, tuple[str, int]]):
+    """An address book with fixed addresses."""
+
+    def address(self, instance_id: str) -> tuple[str, int] | None:
+        return self.get(instance_id)
+
+
+class _Gate:
+    """Forwards bytes to a server until it is told to swallow them."""
+
+    def __init__(self, port: int) -> None:
+        self.port = port
+        self.is_silent = False
+        self.connections = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        swallowed = self.connections == 1
+        up_reader, up_writer = await asyncio.open_connection(
+            "127.0.0.1", self.port
+        )
+        await asyncio.gather(
+            self._copy(reader, up_writer, swallowed),
+            self._copy(up_reader, writer, swallowed),
+        )
+
+    async def _copy(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        swallowed: bool,
+    ) -> None:
+        while data := await reader.read(65536):
+            if not (self.is_silent and swallowed):
+                writer.write(data)
+
+
+def _identity(name: str) -> NodeIdentity:
+    return NodeIdentity(name, lambda: 7, lambda: NO_VERSION, lambda: (0, 1))
+
+
+async def _with_pool(
+    test: Callable[[PeerPool, _Handler, _Gate], Coroutine[Any, Any, None]],
+) -> None:
+    handler = _Handler()
+    book = _Fleet()
+    traffic = LinkTraffic()
+    control = ControlPlane(
+        _identity("b"), book, traffic, None, random.Random(1)
+    )
+    server = PeerServer(_identity("b"), handler, control, traffic, None)
+    gate = _Gate(await server.start("127.0.0.1", 0))
+    front = await asyncio.start_server(gate.serve, "127.0.0.1", 0)
+    book["b"] = ("127.0.0.1", front.sockets[0].getsockname()[1])
+    pool = PeerPool(_identity("a"), book, traffic, None, random.Random(1))
+    try:
+        await test(pool, handler, gate)
+    finally:
+        await pool.close()
+        await server.stop()
+        front.close()
+
+
+def _call(request_id: str, delay_s: float) -> messages.CallRequest:
+    changes = {"request_id": request_id, "path": str(delay_s)}
+    return messages.CallRequest(
+        **{
+            name: changes.get(name, getattr(REQUEST, name))
+            for name in messages.CallRequest.__slots__
+        }
+    )
+
+
+def test_crossed_answers_reach_their_callers() -> None:
+    """Guards against answers matched by order of arrival."""
+
+    async def check(pool: PeerPool, handler: _Handler, gate: _Gate) -> None:
+        delays_s = {f"r{n}": (10 - n) / 100 for n in range(10)}
+        replies = await asyncio.gather(
+            *[pool.call("b", _call(r, d), 2.0) for r, d in delays_s.items()]
+        )
+        for request_id, reply in zip(delays_s, replies, strict=True):
+            assert isinstance(reply, messages.CallAnswer)
+            assert reply.body == request_id.encode()
+
+    virtual_time.run(_with_pool(check))
+
+
+def test_silent_connection_is_found_before_the_deadline() -> None:
+    """Guards against waiting on a connection that died without a signal."""
+
+    async def check(pool: PeerPool, handler: _Handler, gate: _Gate) -> None:
+        await pool.call("b", _call("r0", 0.0), 2.0)
+        gate.is_silent = True
+        start_s = asyncio.get_running_loop().time()
+        reply = await pool.call("b", _call("r1", 0.0), 30.0)
+        took_s = asyncio.get_running_loop().time() - start_s
+        assert isinstance(reply, api.LinkFailure)
+        assert reply.was_sent
+        assert took_s < 2.0
+        assert pool.silent_links == 1
+        fence = await pool.fence("b", "r1", 7, 2.0)
+        assert isinstance(fence, messages.CallFenceReply)
+        assert gate.connections == 2
+
+    virtual_time.run(_with_pool(check))
+
+
+def test_slow_answer_on_a_live_connection_is_waited_for() -> None:
+    """Guards against taking a slow upstream for a silent connection."""
+
+    async def check(pool: PeerPool, handler: _Handler, gate: _Gate) -> None:
+        reply = await pool.call("b", _call("r1", 5.0), 10.0)
+        assert isinstance(reply, messages.CallAnswer)
+        assert pool.silent_links == 0
+
+    virtual_time.run(_with_pool(check))
+
+
+def test_late_answer_is_dropped_and_cancelled() -> None:
+    """Guards against a timed-out call that goes on at the receiver."""
+
+    async def check(pool: PeerPool, handler: _Handler, gate: _Gate) -> None:
+        reply = await pool.call("b", _call("r1", 5.0), 0.2)
+        assert isinstance(reply, api.LinkFailure)
+        await asyncio.sleep(0.1)
+        assert handler.cancelled == ["r1"]
+
+    virtual_time.run(_with_pool(check))
+
+
+def test_refused_connection_is_certainly_not_sent() -> None:
+    """Guards against "unknown" where no byte has left this node."""
+
+    async def check(pool: PeerPool, handler: _Handler, gate: _Gate) -> None:
+        reply = await pool.call("nobody", _call("r1", 0.0), 1.0)
+        assert reply == api.LinkFailure(False, 0, "cannot connect")
+
+    virtual_time.run(_with_pool(check))
--- /dev/null
+++ b/magnoliafork/wire/control.py
@@ -0,0 +1,189 @@
+"""Control connections to the neighbours in the overlay."""
+
+import asyncio
+import dataclasses
+import random
+import ssl
+
+from magnoliafork.wire import api, messages
+from magnoliafork.wire.identity import NodeIdentity
+from magnoliafork.wire.link import Link, LinkTraffic
+
+CONNECT_TIMEOUT_S = 2.0
+RETRY_MIN_S = 0.25
+RETRY_MAX_S = 15.0
+MAX_CONTROL_LINKS = 64
+# Three heartbeat intervals; an open connection that carries nothing for that
+# long has gone silent and is replaced.
+SILENCE_LIMIT_S = 6.0
+
+_CONTROL_TYPES = (
+    messages.Heartbeat,
+    messages.Announce,
+    messages.DeltaRequest,
+    messages.DeltaReply,
+    messages.MembershipUpdate,
+    messages.MembershipRequest,
+    messages.ProbeRequest,
+    messages.ProbeReply,
+)
+
+
+@dataclasses.dataclass(slots=True)
+class _Target:
+    """A peer to which a connection is kept open."""
+
+    task: asyncio.Task[None]
+
+
+class ControlPlane:
+    """Implements `ControlLinks`; keeps connections to the targets open.
+
+    Connections that peers opened count as well. When two nodes have opened
+    one to each other, messages go over the newest.
+    """
+
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        addresses: api.AddressBook,
+        traffic: LinkTraffic,
+        ssl_context: ssl.SSLContext | None,
+        rng: random.Random,
+    ) -> None:
+        """Creates a control plane without connections."""
+        self._identity = identity
+        self._addresses = addresses
+        self._traffic = traffic
+        self._ssl_context = ssl_context
+        self._rng = rng
+        self._handler: api.ControlHandler | None = None
+        self._links: dict[str, list[Link]] = {}
+        self._targets: dict[str, _Target] = {}
+        self._closed_events: dict[Link, asyncio.Event] = {}
+
+    def set_handler(self, handler: api.ControlHandler) -> None:
+        """Sets who receives messages; must come before any connection."""
+        self._handler = handler
+
+    def neighbours(self) -> tuple[str, ...]:
+        """Returns the ids of the peers with an open control connection."""
+        return tuple(self._links)
+
+    def send(self, instance_id: str, message: messages.ControlMessage) -> bool:
+        """Queues a message; false when the peer is gone or its buffer full."""
+        links = self._links.get(instance_id)
+        return links is not None and links[-1].send(message)
+
+    def set_targets(self, instance_ids: tuple[str, ...]) -> None:
+        """Sets the peers to which control connections are kept open."""
+        wanted = set(instance_ids) - {self._identity.instance_id}
+        for instance_id in set(self._targets) - wanted:
+            self._targets.pop(instance_id).task.cancel()
+        for instance_id in sorted(wanted - set(self._targets)):
+            task = asyncio.get_running_loop().create_task(
+                self._keep_open(instance_id)
+            )
+            self._targets[instance_id] = _Target(task)
+
+    def close_silent(self, now_s: float) -> int:
+        """Closes connections without any received byte for too long.
+
+        Returns:
+            The number of connections closed.
+        """
+        silent = [
+            link
+            for links in self._links.values()
+            for link in links
+            if now_s - link.last_received_s > SILENCE_LIMIT_S
+        ]
+        for link in silent:
+            link.close("silent")
+        return len(silent)
+
+    def close(self) -> None:
+        """Closes all control connections."""
+        self.set_targets(())
+        for links in list(self._links.values()):
+            for link in list(links):
+                link.close_after_flush("control plane closed")
+
+    def adopt(self, link: Link, hello: messages.Hello) -> None:
+        """Takes over a connection that a peer has opened."""
+        if len(self._links) >= MAX_CONTROL_LINKS:
+            link.close("too many control connections")
+            return
+        self._add(link, hello)
+
+    def on_hello(self, link: Link, hello: messages.Hello) -> None:
+        """Completes the opening of a connection by this node."""
+        self._add(link, hello)
+
+    def on_message(self, link: Link, message: messages.Message) -> None:
+        """Passes a control message on."""
+        hello = link.remote
+        assert hello is not None
+        if not isinstance(message, _CONTROL_TYPES):
+            link.close(f"unexpected {type(message).__name__}")
+            return
+        if self._handler is not None:
+            self._handler.on_control(hello.instance_id, message)
+
+    def on_closed(self, link: Link) -> None:
+        """Forgets a connection that has ended."""
+        event = self._closed_events.pop(link, None)
+        if event is not None:
+            event.set()
+        hello = link.remote
+        if hello is None:
+            return
+        links = self._links.get(hello.instance_id, [])
+        if link not in links:
+            return
+        links.remove(link)
+        if links:
+            return
+        del self._links[hello.instance_id]
+        if self._handler is not None:
+            self._handler.on_link_down(hello.instance_id)
+
+    def _add(self, link: Link, hello: messages.Hello) -> None:
+        self._links.setdefault(hello.instance_id, []).append(link)
+        if self._handler is not None:
+            self._handler.on_link_up(hello)
+
+    async def _keep_open(self, instance_id: str) -> None:
+        pause_s = RETRY_MIN_S
+        while True:
+            closed = asyncio.Event()
+            link = await self._open(instance_id, closed)
+            if link is None:
+                pause_s = min(RETRY_MAX_S, pause_s * 2)
+            else:
+                pause_s = RETRY_MIN_S
+                try:
+                    await closed.wait()
+                finally:
+                    link.close_after_flush("no longer a neighbour")
+            await asyncio.sleep(pause_s * self._rng.random())
+
+    async def _open(
+        self, instance_id: str, closed: asyncio.Event
+    ) -> Link | None:
+        address = self._addresses.address(instance_id)
+        if address is None:
+            return None
+        loop = asyncio.get_running_loop()
+        link = Link(self, self._traffic, loop)
+        self._closed_events[link] = closed
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await loop.create_connection(
+                    lambda: link, *address, ssl=self._ssl_context
+                )
+        except (OSError, TimeoutError) as error:
+            link.close(f"cannot connect: {error}")
+            return None
+        link.send(self._identity.hello(messages.LinkPurpose.CONTROL))
+        return link
--- /dev/null
+++ b/magnoliafork/wire/link.py
@@ -0,0 +1,228 @@
+"""One connection between two nodes."""
+
+import asyncio
+import dataclasses
+import logging
+from typing import Protocol
+
+from magnoliafork.model.result import Err
+from magnoliafork.wire import codec, messages
+
+logger = logging.getLogger("magnoliafork")
+
+MAX_UNSENT_BYTES = 8 * 1024 * 1024
+
+
+class LinkOwner(Protocol):
+    """Receives what happens on a connection."""
+
+    def on_hello(self, link: "Link", hello: messages.Hello) -> None:
+        """Handles the first message of the remote node."""
+        ...
+
+    def on_message(self, link: "Link", message: messages.Message) -> None:
+        """Handles each later message."""
+        ...
+
+    def on_closed(self, link: "Link") -> None:
+        """Handles the end of the connection; called exactly once."""
+        ...
+
+
+class Traffic(Protocol):
+    """Counts the bytes of a connection."""
+
+    def count_received(self, kind: type, size_bytes: int) -> None:
+        """Adds one received frame."""
+        ...
+
+    def count_sent(self, kind: type, size_bytes: int) -> None:
+        """Adds one sent frame."""
+        ...
+
+
+@dataclasses.dataclass(slots=True)
+class LinkTraffic:
+    """Frame bytes by what they carry.
+
+    Attributes:
+        control_received_bytes: Heartbeats, versions and membership received.
+        control_sent_bytes: The same, sent.
+        call_received_bytes: Requests and answers received.
+        call_sent_bytes: The same, sent.
+    """
+
+    control_received_bytes: int = 0
+    control_sent_bytes: int = 0
+    call_received_bytes: int = 0
+    call_sent_bytes: int = 0
+
+    def count_received(self, kind: type, size_bytes: int) -> None:
+        """Adds one received frame."""
+        if kind in _CALL_KINDS:
+            self.call_received_bytes += size_bytes
+        else:
+            self.control_received_bytes += size_bytes
+
+    def count_sent(self, kind: type, size_bytes: int) -> None:
+        """Adds one sent frame."""
+        if kind in _CALL_KINDS:
+            self.call_sent_bytes += size_bytes
+        else:
+            self.control_sent_bytes += size_bytes
+
+
+_CALL_KINDS = frozenset(
+    {
+        messages.CallRequest,
+        messages.CallAnswer,
+        messages.CallRefused,
+        messages.CallUnknown,
+        messages.CallCancel,
+        messages.CallFence,
+        messages.CallFenceReply,
+    }
+)
+
+
+class Link(asyncio.Protocol):
+    """Frames messages on one connection and closes it on a malformed one."""
+
+    def __init__(
+        self,
+        owner: LinkOwner,
+        traffic: Traffic,
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        """Creates a link for a connection that is about to open."""
+        self._owner = owner
+        self._traffic = traffic
+        self._loop = loop
+        self._transport: asyncio.Transport | None = None
+        self._buffer = bytearray()
+        self._is_closed = False
+        self.remote: messages.Hello | None = None
+        self.last_received_s = loop.time()
+        self.close_reason = ""
+
+    @property
+    def is_open(self) -> bool:
+        """Whether messages can be sent."""
+        return self._transport is not None and not self._is_closed
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes over an opened connection."""
+        assert isinstance(transport, asyncio.Transport)
+        if self._is_closed:
+            transport.abort()
+            return
+        self._transport = transport
+        transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tells the owner that the connection has ended."""
+        if not self.close_reason:
+            self.close_reason = f"connection lost: {exc or 'closed by peer'}"
+        self._finish()
+
+    def data_received(self, data: bytes) -> None:
+        """Decodes all complete frames."""
+        if self._is_closed:
+            return
+        self.last_received_s = self._loop.time()
+        self._buffer += data
+        offset = 0
+        while not self._is_closed:
+            end = self._decode_one(offset)
+            if end is None:
+                break
+            offset = end
+        del self._buffer[:offset]
+
+    def send(self, message: messages.Message) -> bool:
+        """Writes one message.
+
+        Returns:
+            False when the link is closed or too many bytes are unsent; the
+            message was then not written at all.
+        """
+        if self._transport is None or self._is_closed:
+            return False
+        if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            return False
+        frame = codec.encode(message)
+        self._traffic.count_sent(type(message), len(frame))
+        self._transport.write(frame)
+        return True
+
+    def close(self, reason: str) -> None:
+        """Closes the connection at once; unread bytes are dropped."""
+        if self._is_closed:
+            return
+        self.close_reason = reason
+        transport = self._transport
+        self._finish()
+        if transport is not None:
+            transport.abort()
+
+    def close_after_flush(self, reason: str) -> None:
+        """Stops reading at once and closes when all is written."""
+        if self._is_closed:
+            return
+        self.close_reason = reason
+        transport = self._transport
+        self._finish()
+        if transport is not None:
+            transport.close()
+
+    def _finish(self) -> None:
+        if self._is_closed:
+            return
+        self._is_closed = True
+        self._owner.on_closed(self)
+
+    def _decode_one(self, offset: int) -> int | None:
+        start = offset + codec.HEADER_BYTES
+        if len(self._buffer) < start:
+            return None
+        header = codec.decode_header(bytes(self._buffer[offset:start]))
+        if isinstance(header, Err):
+            self._reject(header.errors[0])
+            return None
+        end = start + header.value.payload_bytes
+        if len(self._buffer) < end:
+            return None
+        payload = bytes(self._buffer[start:end])
+        message = codec.decode_payload(header.value, payload)
+        if isinstance(message, Err):
+            self._reject(message.errors[0])
+            return None
+        self._traffic.count_received(type(message.value), end - offset)
+        self._deliver(message.value)
+        return end
+
+    def _deliver(self, message: messages.Message) -> None:
+        if self.remote is not None:
+            self._owner.on_message(self, message)
+            return
+        if not isinstance(message, messages.Hello):
+            self._reject(codec.FrameError("first message is not Hello"))
+            return
+        if message.protocol != codec.PROTOCOL_NUMBER:
+            self._reject(
+                codec.FrameError(f"unknown protocol {message.protocol}")
+            )
+            return
+        self.remote = message
+        self._owner.on_hello(self, message)
+
+    def _reject(self, error: codec.FrameError) -> None:
+        logger.warning(
+            "peer frame rejected",
+            extra={
+                "event": "peer_frame_rejected",
+                "detail": error.detail,
+                "peer": self.remote.instance_id if self.remote else "",
+            },
+        )
+        self.close(f"malformed frame: {error.detail}")
--- /dev/null
+++ b/magnoliafork/wire/pool.py
@@ -0,0 +1,302 @@
+"""Connections for calls to peers and the calls in flight on them."""
+
+import asyncio
+import dataclasses
+import itertools
+import random
+import ssl
+
+from magnoliafork.wire import api, messages
+from magnoliafork.wire.identity import NodeIdentity
+from magnoliafork.wire.link import Link, LinkTraffic
+
+CONNECT_TIMEOUT_S = 1.0
+SILENCE_PROBE_S = 0.3
+SILENCE_LIMIT_S = 0.7
+# Failed connection attempts to one peer are this far apart, so that a dead
+# peer costs its callers no connection timeout for each call.
+RECONNECT_PAUSE_S = 0.2
+MAX_OUTSTANDING_PER_LINK = 4096
+
+StreamFuture = asyncio.Future[messages.StreamReply | api.LinkFailure]
+
+
+@dataclasses.dataclass(slots=True)
+class _CallLink:
+    """An outgoing connection with its outstanding streams."""
+
+    link: Link
+    incarnation: int
+    ready: asyncio.Future[bool]
+    streams: dict[int, StreamFuture] = dataclasses.field(default_factory=dict)
+    probe_sent_s: float | None = None
+    watcher: asyncio.TimerHandle | None = None
+
+
+class PeerPool:
+    """Implements `PeerCalls` over one connection for each peer.
+
+    Replies are matched by stream id, never by order; a reply to an unknown
+    stream is late or duplicated and is dropped and counted.
+    """
+
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        addresses: api.AddressBook,
+        traffic: LinkTraffic,
+        ssl_context: ssl.SSLContext | None,
+        rng: random.Random,
+    ) -> None:
+        """Creates a pool without connections."""
+        self._identity = identity
+        self._addresses = addresses
+        self._traffic = traffic
+        self._ssl_context = ssl_context
+        self._rng = rng
+        self._links: dict[str, _CallLink] = {}
+        self._by_link: dict[Link, tuple[str, _CallLink]] = {}
+        self._connecting: dict[str, asyncio.Task[_CallLink | None]] = {}
+        self._blocked_until_s: dict[str, float] = {}
+        self._stream_ids = itertools.count(1)
+        self._is_closed = False
+        self.late_replies = 0
+        self.silent_links = 0
+
+    async def call(
+        self,
+        instance_id: str,
+        request: messages.CallRequest,
+        timeout_s: float,
+    ) -> messages.CallReply | api.LinkFailure:
+        """Sends one request and waits for its reply."""
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        entry = self._links.get(instance_id)
+        if entry is None:
+            entry = await self._connect(instance_id, timeout_s)
+        if entry is None:
+            return api.LinkFailure(False, 0, "cannot connect")
+        remaining_s = deadline_s - loop.time()
+        stream_id = next(self._stream_ids)
+        request = dataclasses.replace(request, stream_id=stream_id)
+        reply = await self._exchange(entry, stream_id, request, remaining_s)
+        if isinstance(reply, messages.CallFenceReply):
+            return api.LinkFailure(True, entry.incarnation, "wrong reply kind")
+        return reply
+
+    async def fence(
+        self,
+        instance_id: str,
+        request_id: str,
+        incarnation: int,
+        timeout_s: float,
+        moved_to: str = "",
+    ) -> messages.StreamReply | api.LinkFailure:
+        """Asks what became of a request; see `PeerCalls.fence`."""
+        entry = self._links.get(instance_id)
+        if entry is None:
+            self._blocked_until_s.pop(instance_id, None)
+            entry = await self._connect(instance_id, timeout_s)
+        if entry is None:
+            return api.LinkFailure(False, 0, "cannot connect")
+        stream_id = next(self._stream_ids)
+        fence = messages.CallFence(
+            stream_id=stream_id,
+            request_id=request_id,
+            incarnation=incarnation,
+            remaining_ms=max(0, int(timeout_s * 1000)),
+            moved_to=moved_to,
+        )
+        return await self._exchange(entry, stream_id, fence, timeout_s)
+
+    async def probe(self, instance_id: str, timeout_s: float) -> bool:
+        """Tells whether a peer answers on a connection."""
+        entry = self._links.get(instance_id)
+        if entry is None:
+            return await self._connect(instance_id, timeout_s) is not None
+        sent_s = asyncio.get_running_loop().time()
+        entry.link.send(self._heartbeat())
+        await asyncio.sleep(timeout_s)
+        return entry.link.last_received_s >= sent_s
+
+    async def close(self) -> None:
+        """Closes all connections; outstanding calls fail as sent."""
+        self._is_closed = True
+        for task in list(self._connecting.values()):
+            task.cancel()
+        for entry in list(self._links.values()):
+            entry.link.close("pool closed")
+
+    def on_hello(self, link: Link, hello: messages.Hello) -> None:
+        """Completes the opening of a connection."""
+        owned = self._by_link.get(link)
+        if owned is None:
+            link.close("unknown connection")
+            return
+        instance_id, entry = owned
+        if hello.instance_id != instance_id:
+            link.close(f"peer calls itself {hello.instance_id}")
+            return
+        entry.incarnation = hello.incarnation
+        if not entry.ready.done():
+            entry.ready.set_result(True)
+
+    def on_message(self, link: Link, message: messages.Message) -> None:
+        """Delivers a reply to the call that waits for it."""
+        owned = self._by_link.get(link)
+        if owned is None or isinstance(message, messages.Heartbeat):
+            return
+        if not isinstance(
+            message,
+            (
+                messages.CallAnswer,
+                messages.CallRefused,
+                messages.CallUnknown,
+                messages.CallFenceReply,
+            ),
+        ):
+            link.close(f"unexpected {type(message).__name__}")
+            return
+        future = owned[1].streams.get(message.stream_id)
+        if future is None or future.done():
+            self.late_replies += 1
+            return
+        future.set_result(message)
+
+    def on_closed(self, link: Link) -> None:
+        """Fails all calls on a connection that has ended."""
+        owned = self._by_link.pop(link, None)
+        if owned is None:
+            return
+        instance_id, entry = owned
+        if self._links.get(instance_id) is entry:
+            del self._links[instance_id]
+        if not entry.ready.done():
+            entry.ready.set_result(False)
+        if entry.watcher is not None:
+            entry.watcher.cancel()
+        failure = api.LinkFailure(True, entry.incarnation, link.close_reason)
+        for future in entry.streams.values():
+            if not future.done():
+                future.set_result(failure)
+
+    async def _exchange(
+        self,
+        entry: _CallLink,
+        stream_id: int,
+        message: messages.CallRequest | messages.CallFence,
+        timeout_s: float,
+    ) -> messages.StreamReply | api.LinkFailure:
+        loop = asyncio.get_running_loop()
+        if timeout_s <= 0:
+            return api.LinkFailure(False, entry.incarnation, "deadline passed")
+        if len(entry.streams) >= MAX_OUTSTANDING_PER_LINK:
+            return api.LinkFailure(False, entry.incarnation, "link is full")
+        if not entry.link.send(message):
+            return api.LinkFailure(False, entry.incarnation, "link not open")
+        future: StreamFuture = loop.create_future()
+        entry.streams[stream_id] = future
+        self._watch(entry)
+        timer = loop.call_later(
+            timeout_s, self._expire, entry, stream_id, future
+        )
+        try:
+            return await future
+        except asyncio.CancelledError:
+            entry.link.send(messages.CallCancel(stream_id))
+            raise
+        finally:
+            timer.cancel()
+            entry.streams.pop(stream_id, None)
+
+    def _expire(
+        self, entry: _CallLink, stream_id: int, future: StreamFuture
+    ) -> None:
+        if not future.done():
+            entry.link.send(messages.CallCancel(stream_id))
+            future.set_result(
+                api.LinkFailure(True, entry.incarnation, "no reply in time")
+            )
+
+    async def _connect(
+        self, instance_id: str, timeout_s: float
+    ) -> _CallLink | None:
+        loop = asyncio.get_running_loop()
+        if self._is_closed:
+            return None
+        if loop.time() < self._blocked_until_s.get(instance_id, 0.0):
+            return None
+        task = self._connecting.get(instance_id)
+        if task is None:
+            task = loop.create_task(self._open(instance_id))
+            self._connecting[instance_id] = task
+            task.add_done_callback(
+                lambda _: self._connecting.pop(instance_id, None)
+            )
+        done, _ = await asyncio.wait({task}, timeout=max(0.0, timeout_s))
+        if not done or task.cancelled():
+            return None
+        return task.result()
+
+    async def _open(self, instance_id: str) -> _CallLink | None:
+        loop = asyncio.get_running_loop()
+        address = self._addresses.address(instance_id)
+        if address is None:
+            return None
+        link = Link(self, self._traffic, loop)
+        entry = _CallLink(link, 0, loop.create_future())
+        self._by_link[link] = (instance_id, entry)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await loop.create_connection(
+                    lambda: link, *address, ssl=self._ssl_context
+                )
+                link.send(self._identity.hello(messages.LinkPurpose.CALLS))
+                is_ready = await entry.ready
+        except (OSError, TimeoutError) as error:
+            link.close(f"cannot connect: {error}")
+            is_ready = False
+        if not is_ready or not link.is_open:
+            self._by_link.pop(link, None)
+            pause_s = RECONNECT_PAUSE_S * (0.5 + self._rng.random())
+            self._blocked_until_s[instance_id] = loop.time() + pause_s
+            return None
+        self._blocked_until_s.pop(instance_id, None)
+        self._links[instance_id] = entry
+        return entry
+
+    def _watch(self, entry: _CallLink) -> None:
+        if entry.watcher is None:
+            loop = asyncio.get_running_loop()
+            entry.watcher = loop.call_later(
+                SILENCE_PROBE_S, self._check_silence, entry
+            )
+
+    def _check_silence(self, entry: _CallLink) -> None:
+        entry.watcher = None
+        if not entry.streams or not entry.link.is_open:
+            entry.probe_sent_s = None
+            return
+        now_s = asyncio.get_running_loop().time()
+        if (
+            entry.probe_sent_s is not None
+            and entry.link.last_received_s >= entry.probe_sent_s
+        ):
+            entry.probe_sent_s = None
+        silent_s = now_s - entry.link.last_received_s
+        if entry.probe_sent_s is None and silent_s >= SILENCE_PROBE_S:
+            entry.probe_sent_s = now_s
+            entry.link.send(self._heartbeat())
+        elif (
+            entry.probe_sent_s is not None
+            and now_s - entry.probe_sent_s >= SILENCE_LIMIT_S
+        ):
+            self.silent_links += 1
+            entry.link.close("silent")
+            return
+        self._watch(entry)
+
+    def _heartbeat(self) -> messages.Heartbeat:
+        beat = self._identity.liveness_reply(0)
+        return dataclasses.replace(beat, is_reply=False)
--- /dev/null
+++ b/magnoliafork/wire/server.py
@@ -0,0 +1,196 @@
+"""Accepts connections of peers and serves their calls."""
+
+import asyncio
+import dataclasses
+import logging
+import ssl
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from magnoliafork.wire import api, messages
+from magnoliafork.wire.control import ControlPlane
+from magnoliafork.wire.identity import NodeIdentity
+from magnoliafork.wire.link import Link, LinkTraffic
+
+logger = logging.getLogger("magnoliafork")
+
+ServeStream = Callable[[], Coroutine[Any, Any, messages.StreamReply]]
+
+MAX_INBOUND_LINKS = 8192
+HELLO_TIMEOUT_S = 2.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Inbound:
+    """One accepted connection with the calls that run on it."""
+
+    tasks: dict[int, asyncio.Task[None]] = dataclasses.field(
+        default_factory=dict
+    )
+    hello_timer: asyncio.TimerHandle | None = None
+
+
+class PeerServer:
+    """Owns the accepted connections.
+
+    When a sender opens a newer connection for calls, its older ones are
+    closed before the new one is read. A copy of a request that is still in a
+    buffer of an old connection can therefore never run after the sender has
+    fenced the request on the new one.
+    """
+
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        calls: api.CallHandler,
+        control: ControlPlane,
+        traffic: LinkTraffic,
+        ssl_context: ssl.SSLContext | None,
+    ) -> None:
+        """Creates a server that does not listen yet."""
+        self._identity = identity
+        self._calls = calls
+        self._control = control
+        self._traffic = traffic
+        self._ssl_context = ssl_context
+        self._inbound: dict[Link, _Inbound] = {}
+        self._call_links: dict[str, Link] = {}
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> int:
+        """Listens and returns the port, which may have been 0."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._accept, host, port, ssl=self._ssl_context
+        )
+        port_in_use: int = self._server.sockets[0].getsockname()[1]
+        return port_in_use
+
+    async def stop(self) -> None:
+        """Stops listening and closes all accepted connections."""
+        if self._server is not None:
+            self._server.close()
+        for link in list(self._inbound):
+            link.close_after_flush("server stopped")
+
+    def on_hello(self, link: Link, hello: messages.Hello) -> None:
+        """Greets a peer and hands control connections over."""
+        entry = self._inbound[link]
+        if entry.hello_timer is not None:
+            entry.hello_timer.cancel()
+            entry.hello_timer = None
+        if hello.purpose == messages.LinkPurpose.CONTROL:
+            link.send(self._identity.hello(messages.LinkPurpose.CONTROL))
+            self._control.adopt(link, hello)
+            return
+        if not self._supersede(link, hello):
+            link.close("an older connection of the same sender")
+            return
+        link.send(self._identity.hello(messages.LinkPurpose.CALLS))
+
+    def on_message(self, link: Link, message: messages.Message) -> None:
+        """Serves one message of a peer."""
+        hello = link.remote
+        assert hello is not None
+        if hello.purpose == messages.LinkPurpose.CONTROL:
+            self._control.on_message(link, message)
+            return
+        match message:
+            case messages.CallRequest():
+                self._run(
+                    link,
+                    message.stream_id,
+                    lambda: self._calls.on_call(hello.instance_id, message),
+                )
+            case messages.CallFence():
+                self._run(
+                    link,
+                    message.stream_id,
+                    lambda: self._calls.on_fence(hello.instance_id, message),
+                )
+            case messages.CallCancel():
+                self._cancel(link, message.stream_id)
+            case messages.Heartbeat():
+                if not message.is_reply:
+                    link.send(self._identity.liveness_reply(message.sequence))
+            case _:
+                link.close(f"unexpected {type(message).__name__}")
+
+    def on_closed(self, link: Link) -> None:
+        """Cancels the calls of a connection that has ended."""
+        entry = self._inbound.pop(link, None)
+        if entry is None:
+            return
+        if entry.hello_timer is not None:
+            entry.hello_timer.cancel()
+        hello = link.remote
+        if hello is None:
+            return
+        if hello.purpose == messages.LinkPurpose.CONTROL:
+            self._control.on_closed(link)
+            return
+        if self._call_links.get(hello.instance_id) is link:
+            del self._call_links[hello.instance_id]
+        for task in entry.tasks.values():
+            task.cancel()
+
+    def _accept(self) -> Link:
+        loop = asyncio.get_running_loop()
+        link = Link(self, self._traffic, loop)
+        entry = _Inbound()
+        self._inbound[link] = entry
+        if len(self._inbound) > MAX_INBOUND_LINKS:
+            loop.call_soon(link.close, "too many connections")
+            return link
+        entry.hello_timer = loop.call_later(
+            HELLO_TIMEOUT_S, link.close, "no Hello in time"
+        )
+        return link
+
+    def _supersede(self, link: Link, hello: messages.Hello) -> bool:
+        """Closes older call connections of the same sender.
+
+        Returns:
+            False when the new connection is itself the older one.
+        """
+        older = self._call_links.get(hello.instance_id)
+        if older is not None and older.remote is not None:
+            known = older.remote
+            known_key = (known.incarnation, known.link_generation)
+            if (hello.incarnation, hello.link_generation) < known_key:
+                return False
+            older.close("superseded by a newer connection")
+        self._call_links[hello.instance_id] = link
+        return True
+
+    def _run(
+        self,
+        link: Link,
+        stream_id: int,
+        serve: ServeStream,
+    ) -> None:
+        entry = self._inbound.get(link)
+        if entry is None:
+            return
+        if stream_id in entry.tasks:
+            link.close(f"stream {stream_id} used twice")
+            return
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(self._serve(link, stream_id, serve))
+        entry.tasks[stream_id] = task
+        task.add_done_callback(lambda _: entry.tasks.pop(stream_id, None))
+
+    async def _serve(
+        self,
+        link: Link,
+        stream_id: int,
+        serve: ServeStream,
+    ) -> None:
+        reply = await serve()
+        link.send(dataclasses.replace(reply, stream_id=stream_id))
+
+    def _cancel(self, link: Link, stream_id: int) -> None:
+        entry = self._inbound.get(link)
+        task = entry.tasks.get(stream_id) if entry is not None else None
+        if task is not None:
+            task.cancel()
