--- /dev/null
+++ b/magnoliafork/rules/build.py
@@ -0,0 +1,59 @@
+"""Builds the manifest and the parts of a rules file."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from magnoliafork.model.manifest import Manifest
+from magnoliafork.model.result import Err, Ok, Result
+from magnoliafork.rules import format1
+from magnoliafork.rules.errors import RuleError
+from magnoliafork.rules.parser import ParsedFile, read
+from magnoliafork.rules.validate import validate
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Build:
+    """A configuration version that is ready to be published.
+
+    Attributes:
+        manifest: Manifest of the version.
+        parts: Part contents by digest.
+    """
+
+    manifest: Manifest
+    parts: Mapping[str, bytes]
+
+
+def load(text: str) -> Result[ParsedFile, RuleError]:
+    """Parses and validates a rules file; reports all errors at once."""
+    reading = read(text)
+    semantic = validate(reading.file, reading.unread_names)
+    if reading.errors:
+        # A line that could not be read may define the missing service.
+        semantic = tuple(error for error in semantic if error.line > 0)
+    errors = tuple(sorted((*reading.errors, *semantic)))
+    if errors:
+        return Err(errors)
+    return Ok(reading.file)
+
+
+def build(text: str, version_number: int) -> Result[Build, RuleError]:
+    """Builds a version from a rules file."""
+    loaded = load(text)
+    if isinstance(loaded, Err):
+        return loaded
+    document = loaded.value.document
+    manifest, parts = format1.encode(document, version_number)
+    errors = tuple(
+        RuleError(0, 0, _describe(problem), "")
+        for problem in format1.check_manifest(manifest)
+    )
+    if errors:
+        return Err(errors)
+    return Ok(Build(manifest, parts))
+
+
+def _describe(problem: format1.PartProblem) -> str:
+    if problem.part:
+        return f"part {problem.part}: {problem.message}"
+    return problem.message
--- /dev/null
+++ b/magnoliafork/snapshot/store.py
@@ -0,0 +1,248 @@
+"""Holds the snapshot in force and decides which versions replace it."""
+
+import collections
+import dataclasses
+import enum
+import logging
+import types
+from collections.abc import Callable, Mapping, Sequence
+
+from magnoliafork.model.snapshot import Snapshot
+from magnoliafork.model.version import NO_VERSION, Version
+from magnoliafork.snapshot.errors import ConfigError
+
+MAX_HISTORY_ENTRIES = 64
+MAX_REJECTED_VERSIONS = 64
+MAX_ERRORS_PER_REJECTION = 20
+
+Subscriber = Callable[[Snapshot], None]
+
+_logger = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Applied:
+    """The offered snapshot is in force."""
+
+    version: Version
+    previous: Version
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AppliedConflict:
+    """The offered snapshot is in force; another content had its number."""
+
+    version: Version
+    previous: Version
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class IgnoredLower:
+    """The offered version has a lower number than the one in force."""
+
+    offered: Version
+    current: Version
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class IgnoredConflict:
+    """The offered version has the number in force and a lower digest."""
+
+    offered: Version
+    current: Version
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Duplicate:
+    """The offered version is in force already."""
+
+    version: Version
+
+
+OfferOutcome = (
+    Applied | AppliedConflict | IgnoredLower | IgnoredConflict | Duplicate
+)
+
+
+class HistoryEvent(enum.StrEnum):
+    """What happened to a version."""
+
+    APPLIED = "applied"
+    APPLIED_CONFLICT = "applied_conflict"
+    IGNORED_CONFLICT = "ignored_conflict"
+    REJECTED = "rejected"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistoryEntry:
+    """One event in the life of the store.
+
+    Attributes:
+        at_s: Time of the event.
+        event: What happened.
+        version: Version that it happened to.
+        current: Version in force after the event.
+    """
+
+    at_s: float
+    event: HistoryEvent
+    version: Version
+    current: Version
+
+
+@dataclasses.dataclass(slots=True)
+class StoreCounts:
+    """Counts of offers and rejections since the start."""
+
+    applied: int = 0
+    ignored_lower: int = 0
+    duplicates: int = 0
+    conflicts: int = 0
+    rejected: int = 0
+
+
+class SnapshotStore:
+    """The snapshot in force; its version never decreases."""
+
+    def __init__(self) -> None:
+        """Creates a store without a snapshot."""
+        self.counts = StoreCounts()
+        self._current: Snapshot | None = None
+        self._rejected: dict[Version, tuple[ConfigError, ...]] = {}
+        self._history: collections.deque[HistoryEntry] = collections.deque(
+            maxlen=MAX_HISTORY_ENTRIES
+        )
+        self._subscribers: list[Subscriber] = []
+        self._unannounced: collections.deque[Snapshot] = collections.deque()
+        self._is_notifying = False
+
+    @property
+    def current(self) -> Snapshot | None:
+        """Snapshot in force, or None before the first one."""
+        return self._current
+
+    @property
+    def version(self) -> Version:
+        """Version in force, or `NO_VERSION` before the first one."""
+        return NO_VERSION if self._current is None else self._current.version
+
+    @property
+    def rejected(self) -> Mapping[Version, tuple[ConfigError, ...]]:
+        """Rejected versions above the one in force, with their errors."""
+        return types.MappingProxyType(self._rejected)
+
+    def offer(self, snapshot: Snapshot, now_s: float) -> OfferOutcome:
+        """Applies a snapshot if its version is above the one in force."""
+        offered = snapshot.version
+        current = self.version
+        if offered == current:
+            self.counts.duplicates += 1
+            return Duplicate(offered)
+        if offered.number < current.number:
+            self.counts.ignored_lower += 1
+            return IgnoredLower(offered, current)
+        if offered < current:
+            self.counts.conflicts += 1
+            self._record(now_s, HistoryEvent.IGNORED_CONFLICT, offered)
+            return IgnoredConflict(offered, current)
+        return self._apply(snapshot, current, now_s)
+
+    def reject(
+        self,
+        version: Version,
+        errors: Sequence[ConfigError],
+        now_s: float,
+    ) -> None:
+        """Remembers that a version is invalid, so that it is not fetched.
+
+        A version that is not above the one in force is never wanted and
+        needs no memory. When the memory is full, the oldest rejection goes;
+        that version would only be fetched and rejected once more.
+        """
+        if version <= self.version or version in self._rejected:
+            return
+        if len(self._rejected) >= MAX_REJECTED_VERSIONS:
+            del self._rejected[next(iter(self._rejected))]
+        self._rejected[version] = tuple(errors[:MAX_ERRORS_PER_REJECTION])
+        self.counts.rejected += 1
+        self._record(now_s, HistoryEvent.REJECTED, version)
+
+    def is_wanted(self, version: Version) -> bool:
+        """Tells whether a version is worth fetching."""
+        return version > self.version and version not in self._rejected
+
+    def history(self) -> tuple[HistoryEntry, ...]:
+        """Returns the latest events, the oldest first."""
+        return tuple(self._history)
+
+    def subscribe(self, callback: Subscriber) -> Callable[[], None]:
+        """Calls back after each swap, in order of version.
+
+        Returns:
+            A function that ends the subscription.
+        """
+        self._subscribers.append(callback)
+
+        def unsubscribe() -> None:
+            if callback in self._subscribers:
+                self._subscribers.remove(callback)
+
+        return unsubscribe
+
+    def _apply(
+        self, snapshot: Snapshot, previous: Version, now_s: float
+    ) -> Applied | AppliedConflict:
+        self._current = snapshot
+        self._forget_rejections()
+        self.counts.applied += 1
+        is_conflict = snapshot.version.number == previous.number
+        if is_conflict:
+            self.counts.conflicts += 1
+            event = HistoryEvent.APPLIED_CONFLICT
+        else:
+            event = HistoryEvent.APPLIED
+        self._record(now_s, event, snapshot.version)
+        self._notify(snapshot)
+        if is_conflict:
+            return AppliedConflict(snapshot.version, previous)
+        return Applied(snapshot.version, previous)
+
+    def _forget_rejections(self) -> None:
+        """Drops rejections that the version in force makes irrelevant."""
+        for version in [
+            item for item in self._rejected if item <= self.version
+        ]:
+            del self._rejected[version]
+
+    def _record(
+        self, now_s: float, event: HistoryEvent, version: Version
+    ) -> None:
+        last = self._history[-1] if self._history else None
+        if last and (last.event, last.version) == (event, version):
+            # Heartbeats repeat a conflict until the other side gives way.
+            return
+        self._history.append(HistoryEntry(now_s, event, version, self.version))
+
+    def _notify(self, snapshot: Snapshot) -> None:
+        """Calls the subscribers; a swap made by one of them waits its turn.
+
+        Without the queue, later subscribers would see the newer snapshot
+        first and the older one last.
+        """
+        self._unannounced.append(snapshot)
+        if self._is_notifying:
+            return
+        self._is_notifying = True
+        try:
+            while self._unannounced:
+                self._call_subscribers(self._unannounced.popleft())
+        finally:
+            self._is_notifying = False
+
+    def _call_subscribers(self, snapshot: Snapshot) -> None:
+        for callback in tuple(self._subscribers):
+            try:
+                callback(snapshot)
+            except Exception:
+                # One faulty subscriber must not hide a swap from the others.
+                _logger.exception("snapshot subscriber failed")
