--- a/magnoliafork/rules/build.py
+++ b/magnoliafork/rules/build.py
@@ -5,8 +5,9 @@
 
 from magnoliafork.model.manifest import Manifest
 from magnoliafork.model.result import Err, Ok, Result
-from magnoliafork.rules import format1
 from magnoliafork.rules.errors import RuleError
+from magnoliafork.rules.format1.encode import encode
+from magnoliafork.rules.format1.manifest import PartProblem, check_manifest
 from magnoliafork.rules.parser import ParsedFile, read
 from magnoliafork.rules.validate import validate
 
@@ -43,17 +44,17 @@
     if isinstance(loaded, Err):
         return loaded
     document = loaded.value.document
-    manifest, parts = format1.encode(document, version_number)
+    manifest, parts = encode(document, version_number)
     errors = tuple(
         RuleError(0, 0, _describe(problem), "")
-        for problem in format1.check_manifest(manifest)
+        for problem in check_manifest(manifest)
     )
     if errors:
         return Err(errors)
     return Ok(Build(manifest, parts))
 
 
-def _describe(problem: format1.PartProblem) -> str:
+def _describe(problem: PartProblem) -> str:
     if problem.part:
         return f"part {problem.part}: {problem.message}"
     return problem.message
--- a/magnoliafork/rules/errors.py
+++ b/magnoliafork/rules/errors.py
@@ -4,6 +4,9 @@
 import difflib
 from collections.abc import Iterable
 
+# Names are at most 128 characters long; comparing longer words is slow.
+_MAX_COMPARED_LENGTH = 160
+
 
 @dataclasses.dataclass(frozen=True, order=True, slots=True)
 class RuleError:
@@ -41,5 +44,8 @@
     >>> closest_name("x", ["patterns"])
     ''
     """
-    matches = difflib.get_close_matches(given, list(candidates), n=1)
+    if len(given) > _MAX_COMPARED_LENGTH:
+        return ""
+    names = [name for name in candidates if len(name) <= _MAX_COMPARED_LENGTH]
+    matches = difflib.get_close_matches(given, names, n=1)
     return matches[0] if matches else ""
--- a/magnoliafork/rules/matcher.py
+++ b/magnoliafork/rules/matcher.py
@@ -109,6 +109,9 @@
         )
 
     def _levels(self, host: str, path: str) -> Iterator[_ByMethod]:
+        if not path.startswith("/"):
+            # `OPTIONS *` and absolute URLs name no path of a service.
+            return
         bare_path = path.partition("?")[0]
         for key in (normalize_host(host), ANY):
             routes = self._hosts.get(key)
--- a/magnoliafork/rules/validate.py
+++ b/magnoliafork/rules/validate.py
@@ -4,7 +4,7 @@
 
 from magnoliafork.rules.document import Kind, Subject
 from magnoliafork.rules.errors import RuleError, closest_name
-from magnoliafork.rules.format1 import Problem, check_document
+from magnoliafork.rules.format1.check import Problem, check_document
 from magnoliafork.rules.lexer import Token
 from magnoliafork.rules.parser import ParsedFile, Positions
 
@@ -21,7 +21,8 @@
     Args:
         file: Rules to check.
         unread_names: Names that lines with syntax errors may define; a
-            reference to one of them is no error.
+            reference to one of them is no error, and they are suggested
+            for misspelt names.
     """
     problems = [
         problem
@@ -31,17 +32,19 @@
     errors = []
     suggestions: dict[str, str] = {}
     for problem in problems:
-        suggestion = _suggestion(problem, suggestions)
+        suggestion = _suggestion(problem, unread_names, suggestions)
         errors.append(_to_error(problem, file.positions, suggestion))
     return tuple(sorted(errors))
 
 
-def _suggestion(problem: Problem, known: dict[str, str]) -> str:
-    if not problem.given:
-        return ""
-    if problem.given not in known and len(known) < _MAX_SUGGESTIONS:
-        known[problem.given] = closest_name(problem.given, problem.candidates)
-    return known.get(problem.given, "")
+def _suggestion(
+    problem: Problem, unread_names: frozenset[str], known: dict[str, str]
+) -> str:
+    given = problem.given
+    if given and given not in known and len(known) < _MAX_SUGGESTIONS:
+        candidates = (*problem.candidates, *sorted(unread_names))
+        known[given] = closest_name(given, candidates)
+    return known.get(given, "")
 
 
 def _to_error(
--- a/magnoliafork/snapshot/delta.py
+++ b/magnoliafork/snapshot/delta.py
@@ -2,10 +2,10 @@
 
 import dataclasses
 
-from magnoliafork.model.manifest import Manifest, PartRef
+from magnoliafork.model.manifest import SUPPORTED_FORMATS, Manifest, PartRef
 from magnoliafork.model.result import Err, Result
 from magnoliafork.model.version import Version
-from magnoliafork.snapshot.assemble import check_manifest
+from magnoliafork.snapshot.assemble import check_manifest, unknown_format
 from magnoliafork.snapshot.errors import ConfigError, ConfigErrorKind
 
 
@@ -49,6 +49,8 @@
     another base or was damaged, and a full transfer is needed. Any other
     error is a property of the target version.
     """
+    if delta.format not in SUPPORTED_FORMATS:
+        return unknown_format(delta.format)
     entries = {part.name: part for part in base.parts} if base else {}
     for name in delta.removed:
         entries.pop(name, None)
--- a/magnoliafork/snapshot/errors.py
+++ b/magnoliafork/snapshot/errors.py
@@ -19,6 +19,9 @@
     {ConfigErrorKind.MISSING_PART, ConfigErrorKind.DIGEST_MISMATCH}
 )
 
+# Names and values from untrusted content can be as long as a part.
+MAX_TEXT_LENGTH = 300
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigError:
@@ -35,6 +38,11 @@
     message: str
 
 
+def config_error(kind: ConfigErrorKind, part: str, message: str) -> ConfigError:
+    """Returns an error whose texts are cut to a bounded length."""
+    return ConfigError(kind, part[:MAX_TEXT_LENGTH], message[:MAX_TEXT_LENGTH])
+
+
 def is_torn(errors: Iterable[ConfigError]) -> bool:
     """Tells whether fetching the parts again may help.
 
--- a/magnoliafork/snapshot/part_models.py
+++ b/magnoliafork/snapshot/part_models.py
@@ -14,7 +14,7 @@
     ServiceRule,
     WeightedTarget,
 )
-from magnoliafork.rules.document import DrainRule, ZoneRule
+from magnoliafork.rules.document import DrainRule, RuleDocument, ZoneRule
 
 # Parts carry no line numbers, so an inserted line changes one part only.
 UNKNOWN_LINE = 0
@@ -88,6 +88,11 @@
 
     routes: tuple[RouteModel, ...]
 
+    def to_document(self) -> RuleDocument:
+        """Returns the routes of the part."""
+        routes = tuple(route.to_rule() for route in self.routes)
+        return RuleDocument((), (), routes, ())
+
 
 class ServiceModel(_StrictModel):
     """Part `service/<service>`."""
@@ -101,9 +106,9 @@
     ramp_start: Number
     asked_by: str
 
-    def to_rule(self) -> ServiceRule:
+    def to_document(self) -> RuleDocument:
         """Returns the service rule without a line number."""
-        return ServiceRule(
+        rule = ServiceRule(
             name=self.name,
             slots=self.slots,
             connections=self.connections,
@@ -113,6 +118,7 @@
             ramp_start=self.ramp_start,
             origin=Origin(UNKNOWN_LINE, self.asked_by),
         )
+        return RuleDocument((), (rule,), (), ())
 
 
 class ZoneModel(_StrictModel):
@@ -145,3 +151,9 @@
 
     zones: tuple[ZoneModel, ...]
     drains: tuple[DrainModel, ...]
+
+    def to_document(self) -> RuleDocument:
+        """Returns the zones and drains of the part."""
+        zones = tuple(zone.to_rule() for zone in self.zones)
+        drains = tuple(drain.to_rule() for drain in self.drains)
+        return RuleDocument(zones, (), (), drains)
--- a/magnoliafork/snapshot/store.py
+++ b/magnoliafork/snapshot/store.py
@@ -133,19 +133,31 @@
 
     def offer(self, snapshot: Snapshot, now_s: float) -> OfferOutcome:
         """Applies a snapshot if its version is above the one in force."""
-        offered = snapshot.version
-        current = self.version
-        if offered == current:
+        if snapshot.version == self.version:
             self.counts.duplicates += 1
-            return Duplicate(offered)
-        if offered.number < current.number:
+            return Duplicate(self.version)
+        ignored = self.observe(snapshot.version, now_s)
+        if ignored is not None:
+            return ignored
+        return self._apply(snapshot, now_s)
+
+    def observe(
+        self, version: Version, now_s: float
+    ) -> IgnoredLower | IgnoredConflict | None:
+        """Counts a reported version that is below the one in force.
+
+        Peers and the source report versions without their content. The
+        result is None for a version that is in force or above.
+        """
+        current = self.version
+        if version >= current:
+            return None
+        if version.number < current.number:
             self.counts.ignored_lower += 1
-            return IgnoredLower(offered, current)
-        if offered < current:
-            self.counts.conflicts += 1
-            self._record(now_s, HistoryEvent.IGNORED_CONFLICT, offered)
-            return IgnoredConflict(offered, current)
-        return self._apply(snapshot, current, now_s)
+            return IgnoredLower(version, current)
+        self.counts.conflicts += 1
+        self._record(now_s, HistoryEvent.IGNORED_CONFLICT, version)
+        return IgnoredConflict(version, current)
 
     def reject(
         self,
@@ -190,8 +202,9 @@
         return unsubscribe
 
     def _apply(
-        self, snapshot: Snapshot, previous: Version, now_s: float
+        self, snapshot: Snapshot, now_s: float
     ) -> Applied | AppliedConflict:
+        previous = self.version
         self._current = snapshot
         self._forget_rejections()
         self.counts.applied += 1
@@ -217,8 +230,10 @@
     def _record(
         self, now_s: float, event: HistoryEvent, version: Version
     ) -> None:
-        last = self._history[-1] if self._history else None
-        if last and (last.event, last.version) == (event, version):
+        if any(
+            entry.event is event and entry.version == version
+            for entry in self._history
+        ):
             # Heartbeats repeat a conflict until the other side gives way.
             return
         self._history.append(HistoryEntry(now_s, event, version, self.version))
