--- a/magnoliafork/standins/upstream_server.py
+++ b/magnoliafork/standins/upstream_server.py
@@ -84,6 +84,7 @@
         self._capacity = Capacity(self.behaviour)
         self._hints = LaggingHints(self.behaviour.hint_lag_s, self._hint(0.0))
         self._restart: asyncio.Task[None] | None = None
+        self._overload_check: asyncio.TimerHandle | None = None
         self._listener = HttpListener(self._application())
 
     @property
@@ -104,6 +105,8 @@
 
     async def stop(self) -> None:
         """Cuts all connections and frees the port."""
+        if self._overload_check is not None:
+            self._overload_check.cancel()
         if self._restart is not None:
             self._restart.cancel()
             await asyncio.gather(self._restart, return_exceptions=True)
@@ -246,11 +249,25 @@
             excess = self._active - self._capacity.at(now_s)
             self.peak_cold_excess = max(self.peak_cold_excess, excess)
         self._record_hint()
+        self._plan_overload_check(now_s)
         falls = self._capacity.falls_over(self._active, now_s)
         if falls and not self._is_crashing:
             self.fall_count += 1
             self.crash()
 
+    def _plan_overload_check(self, now_s: float) -> None:
+        # Overload must end in a fall even if no request begins or ends.
+        if self._overload_check is not None or not self._active:
+            return
+        if self._capacity.is_overloaded(self._active, now_s):
+            self._overload_check = asyncio.get_running_loop().call_later(
+                self.behaviour.overload_grace_s, self._check_overload
+            )
+
+    def _check_overload(self) -> None:
+        self._overload_check = None
+        self._observe_load()
+
     def _service_time_s(self) -> float:
         behaviour = self.behaviour
         spread = 1 + behaviour.jitter * (2 * self._random.random() - 1)
