--- /dev/null
+++ b/magnoliafork/observe/status.py
@@ -0,0 +1,148 @@
+"""What a node tells operators about itself."""
+
+import collections
+import dataclasses
+from collections.abc import Mapping, Sequence
+from typing import Protocol
+
+from magnoliafork.model.instance import Instance
+from magnoliafork.model.version import NO_VERSION, Version
+
+MAX_HISTORY_ENTRIES = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RejectedVersion:
+    """A version that failed validation.
+
+    Attributes:
+        version: The version.
+        errors: Why it was rejected.
+    """
+
+    version: Version
+    errors: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Neighbour:
+    """A peer with a control link.
+
+    Attributes:
+        instance_id: Id of the peer.
+        zone: Availability zone of the peer.
+        version_number: Version number that the peer reported last.
+        silent_ms: Time since the last bytes from the peer.
+    """
+
+    instance_id: str
+    zone: str
+    version_number: int
+    silent_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeStatus:
+    """State of a node at one moment.
+
+    Attributes:
+        instance: The node's instance.
+        incarnation: Start of the process, in ms since the epoch.
+        is_ready: Whether the node serves callers.
+        is_leaving: Whether a planned stop has begun.
+        version: Version in force, or `NO_VERSION`.
+        rejected: Rejected versions above the one in force.
+        members: Number of members by state name.
+        zones_out: Availability zones that take no new work.
+        drained: Instances that the rules drain.
+        leaving: Instances that announced a planned stop.
+        ramp: Share of the slots that the ramp allows, from 0 to 1.
+        active: Requests that run in the upstream.
+        limit: Requests that may run in the upstream.
+        queued: Requests that wait for the upstream.
+        neighbours: Peers with a control link.
+        counters: Counters by name.
+    """
+
+    instance: Instance
+    incarnation: int = 0
+    is_ready: bool = False
+    is_leaving: bool = False
+    version: Version = NO_VERSION
+    rejected: tuple[RejectedVersion, ...] = ()
+    members: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    zones_out: tuple[str, ...] = ()
+    drained: tuple[str, ...] = ()
+    leaving: tuple[str, ...] = ()
+    ramp: float = 1.0
+    active: int = 0
+    limit: int = 0
+    queued: int = 0
+    neighbours: tuple[Neighbour, ...] = ()
+    counters: Mapping[str, int] = dataclasses.field(default_factory=dict)
+
+
+def status_json(status: NodeStatus) -> dict[str, object]:
+    """Returns the status as a JSON value."""
+    # asdict copies only plain dictionaries correctly.
+    plain = dataclasses.replace(
+        status, members=dict(status.members), counters=dict(status.counters)
+    )
+    return dataclasses.asdict(plain)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistoryEntry:
+    """One change of a node's state.
+
+    Attributes:
+        at_unix_ms: Time of the change, in ms since the epoch.
+        event: Name of the log event.
+        version_number: Version number that the change is about, or 0.
+        digest: Digest of that version, or an empty string.
+        detail: What changed.
+    """
+
+    at_unix_ms: int
+    event: str
+    version_number: int = 0
+    digest: str = ""
+    detail: str = ""
+
+
+class History:
+    """The most recent changes, oldest first."""
+
+    def __init__(self, max_entries: int = MAX_HISTORY_ENTRIES) -> None:
+        """Creates an empty history of bounded length."""
+        self._entries: collections.deque[HistoryEntry] = collections.deque(
+            maxlen=max_entries
+        )
+
+    def add(self, entry: HistoryEntry) -> None:
+        """Adds a change and drops the oldest one if the history is full."""
+        self._entries.append(entry)
+
+    def entries(self) -> Sequence[HistoryEntry]:
+        """Returns the changes, oldest first."""
+        return tuple(self._entries)
+
+
+class StatusSource(Protocol):
+    """Gives the admin listener access to a node."""
+
+    def status(self) -> NodeStatus:
+        """Returns the node's state now."""
+        ...
+
+    def history(self) -> Sequence[HistoryEntry]:
+        """Returns the recent changes, oldest first."""
+        ...
+
+    def is_ready(self) -> bool:
+        """Returns whether the node serves callers."""
+        ...
+
+    def begin_drain(self) -> None:
+        """Begins a planned stop; a second call changes nothing."""
+        ...
