--- /dev/null
+++ b/magnoliafork/cluster/control.py
@@ -0,0 +1,452 @@
+"""Control plane of one node: membership, overlay and configuration."""
+
+import random
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+from magnoliafork.cluster.detector import Detector, LoadHint
+from magnoliafork.cluster.dissemination import (
+    Assemble,
+    Dissemination,
+    SnapshotStore,
+)
+from magnoliafork.cluster.membership import MembershipTable
+from magnoliafork.cluster.overlay import Overlay, choose_neighbours
+from magnoliafork.model.instance import Instance, Member, MemberState
+from magnoliafork.model.manifest import Manifest
+from magnoliafork.model.version import Version
+from magnoliafork.source.reader import ListedInstance
+from magnoliafork.wire import messages
+from magnoliafork.wire.api import ControlLinks
+
+JOIN_PEERS = 3
+# A version whose only holders are gone must not keep a node from joining.
+REPORT_VALID_S = 30.0
+MIN_SYNC_INTERVAL_S = 1.0
+# Changes that are still spreading repair themselves; a sync moves 4 KB and
+# more for each bucket that differs.
+SYNC_SETTLE_S = 3.0
+# Under constant change the table never settles, but repair must not wait.
+SYNC_MAX_DELAY_S = 10.0
+DEAD_RETRY_PERIOD_S = 10.0
+# Time for one connection attempt and the exchange of the first messages.
+DEAD_RETRY_WINDOW_S = 5.0
+# About 110 bytes each; 5,000 stay below the frame limit of 2 MiB.
+MAX_UPDATE_ROWS = 5_000
+
+
+class ClusterControl:
+    """Handles control messages and owns the tables behind them.
+
+    Also receives what the source reader finds, and tells it which versions
+    and parts are still needed.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        store: SnapshotStore,
+        assemble: Assemble,
+        links: ControlLinks,
+        *,
+        clock: Callable[[], float],
+        rng: random.Random,
+        load: Callable[[], LoadHint],
+        seed_ids: tuple[str, ...] = (),
+        join_timeout_s: float = 5.0,
+    ) -> None:
+        """Creates the control plane of a node that just started.
+
+        Args:
+            own: This node's entry; its incarnation is the start time.
+            store: Snapshot in force and rejected versions.
+            assemble: Builds and validates a snapshot.
+            links: Connections to the neighbours.
+            clock: Time of the event loop in seconds.
+            rng: Source of jitter.
+            load: Active requests and limit for heartbeats.
+            seed_ids: Peers from the settings, linked until the node joined.
+            join_timeout_s: Time after which fewer than 3 peers suffice.
+        """
+        now_s = clock()
+        self.table = MembershipTable(own, now_s)
+        self.overlay = Overlay(self.table)
+        self.dissemination = Dissemination(store, assemble, links, rng)
+        self.detector = Detector(
+            self.table, links, load, self._heartbeat_state, rng, now_s
+        )
+        self._self_id = own.instance.instance_id
+        self._store = store
+        self._links = links
+        self._clock = clock
+        self._rng = rng
+        self._seed_ids = seed_ids
+        self._join_timeout_s = join_timeout_s
+        self._started_s = now_s
+        self._reached: set[str] = set()
+        self._source_answered = False
+        self._list_was_read = False
+        self._has_joined = False
+        self._reported: dict[Version, float] = {}
+        self._targets: tuple[str, ...] | None = None
+        self._pending: dict[str, tuple[Member, str]] = {}
+        self._mismatch_since_s: dict[str, float] = {}
+        self._table_changed_s = now_s
+        self._last_sync_s = now_s - MIN_SYNC_INTERVAL_S
+        self._retried_dead: tuple[str, ...] = ()
+        self._dead_retry_end_s = now_s
+        self._dead_retry_s = now_s + rng.uniform(0, DEAD_RETRY_PERIOD_S)
+        self.bad_manifest_errors: tuple[Any, ...] = ()
+        self._update_targets()
+
+    # State for the rest of the node.
+
+    @property
+    def is_view_stale(self) -> bool:
+        """Whether this node was paused and has not yet caught up."""
+        return self.detector.is_stale_at(self._clock())
+
+    @property
+    def is_zone_reader(self) -> bool:
+        """Whether this node watches the source for its zone."""
+        return self.overlay.is_zone_reader
+
+    @property
+    def incarnation(self) -> int:
+        """Own incarnation; rises when the node refutes a report."""
+        return self.table.own.incarnation
+
+    @property
+    def reached_peers(self) -> frozenset[str]:
+        """Peers with which a link was established since the start."""
+        return frozenset(self._reached)
+
+    @property
+    def fleet_size(self) -> int:
+        """Number of instances that are not DEAD, this one included."""
+        return self.table.live_count
+
+    def is_joined(self, now_s: float) -> bool:
+        """Whether callers may be served; stays true once it was."""
+        if not self._has_joined and self._can_join(now_s):
+            self._has_joined = True
+            self._reported.clear()
+        return self._has_joined
+
+    def _can_join(self, now_s: float) -> bool:
+        if self._store.current is None:
+            return False
+        if self._is_behind(now_s):
+            return False
+        if len(self._reached) >= self._join_peers():
+            return True
+        if now_s - self._started_s < self._join_timeout_s:
+            return False
+        return self._source_answered or bool(self._reached)
+
+    def _is_behind(self, now_s: float) -> bool:
+        """Whether a reached peer reported a version that is still wanted."""
+        return any(
+            now_s - heard_s < REPORT_VALID_S
+            and self.dissemination.is_obtainable(version)
+            for version, heard_s in self._reported.items()
+        )
+
+    def _note_version(
+        self, peer_id: str, version: Version, now_s: float
+    ) -> None:
+        if not self._has_joined:
+            self._reported[version] = now_s
+        self.dissemination.on_peer_version(peer_id, version, now_s)
+
+    def _join_peers(self) -> int:
+        if not self._list_was_read:
+            # Before the first list, few known peers may be a small part of
+            # the fleet.
+            return JOIN_PEERS
+        return min(JOIN_PEERS, self.table.live_count - 1)
+
+    def address(self, instance_id: str) -> tuple[str, int] | None:
+        """Returns a peer's IP address and port, or None if unknown."""
+        member = self.table.get(instance_id)
+        if member is None:
+            return None
+        return (member.instance.host, member.instance.peer_port)
+
+    # Regular work.
+
+    def tick(self, now_s: float) -> None:
+        """Runs timeouts, heartbeats, repairs and pending updates."""
+        self._check_clock(now_s)
+        if not self.detector.is_view_stale:
+            self._note_changes(self.table.tick(now_s), "", now_s)
+        suspects = self.detector.tick(now_s)
+        self._note_changes(self.table.merge(suspects, now_s), "", now_s)
+        self.dissemination.tick(now_s)
+        self.is_joined(now_s)
+        self._retry_dead(now_s)
+        self._sync_if_needed(now_s)
+        self._flush()
+        self._update_targets()
+
+    def _check_clock(self, now_s: float) -> None:
+        """Keeps timeouts from counting the time of a pause."""
+        if self.detector.check_clock(now_s):
+            self.table.restart_timeouts(now_s)
+            self.dissemination.restart_timeouts(now_s)
+
+    def announce_leaving(self) -> None:
+        """Spreads that this node takes no new work."""
+        now_s = self._clock()
+        own = self.table.set_own_state(MemberState.LEAVING, now_s)
+        self._note_changes((own,), "", now_s)
+
+    def _update_targets(self) -> None:
+        wanted = dict.fromkeys(self.overlay.neighbours)
+        self.detector.set_targets(tuple(wanted), self._clock())
+        wanted.update(dict.fromkeys(self.detector.probe_targets))
+        wanted.update(dict.fromkeys(self._retried_dead))
+        if not self._has_joined:
+            wanted.update(dict.fromkeys(self._seed_ids))
+        wanted.pop(self._self_id, None)
+        targets = tuple(wanted)
+        if targets != self._targets:
+            self._targets = targets
+            self._links.set_targets(targets)
+
+    def _retry_dead(self, now_s: float) -> None:
+        """Tries one dead member at a time, to notice a healed partition."""
+        if now_s >= self._dead_retry_end_s:
+            self._retried_dead = ()
+        if now_s < self._dead_retry_s:
+            return
+        self._dead_retry_end_s = now_s + DEAD_RETRY_WINDOW_S
+        self._dead_retry_s = now_s + DEAD_RETRY_PERIOD_S
+        dead = [
+            member.instance.instance_id
+            for member in self.table
+            if member.state is MemberState.DEAD
+        ]
+        if dead:
+            self._retried_dead = (self._rng.choice(dead),)
+
+    # Membership.
+
+    def _note_changes(
+        self, changed: Iterable[Member], from_id: str, now_s: float
+    ) -> None:
+        """Schedules changed rows for the neighbours; leaving goes at once."""
+        is_urgent = False
+        for member in changed:
+            self._pending[member.instance.instance_id] = (member, from_id)
+            self._table_changed_s = now_s
+            is_urgent |= member.state is MemberState.LEAVING
+        if is_urgent:
+            self._flush()
+
+    def _flush(self) -> None:
+        if not self._pending:
+            return
+        pending, self._pending = self._pending, {}
+        for peer_id in self._links.neighbours():
+            rows = tuple(
+                member
+                for member, from_id in pending.values()
+                if from_id != peer_id
+            )
+            self._send_rows(peer_id, rows, is_full=False)
+
+    def _send_rows(
+        self, peer_id: str, rows: tuple[Member, ...], is_full: bool
+    ) -> None:
+        for start in range(0, len(rows), MAX_UPDATE_ROWS):
+            group = rows[start : start + MAX_UPDATE_ROWS]
+            entries = tuple(map(_to_entry, group))
+            update = messages.MembershipUpdate(entries, is_full)
+            self._links.send(peer_id, update)
+
+    def _on_membership_update(
+        self, peer_id: str, update: messages.MembershipUpdate, now_s: float
+    ) -> None:
+        rows = [_to_member(entry) for entry in update.members]
+        members = [member for member in rows if member is not None]
+        changed = self.table.merge(members, now_s)
+        self._note_changes(changed, peer_id, now_s)
+        refuted = [
+            member
+            for member in changed
+            if member.instance.instance_id == self._self_id
+        ]
+        if refuted:
+            # The sender holds the refuted row too.
+            self._note_changes(refuted, "", now_s)
+
+    def _note_peer_digest(
+        self, peer_id: str, digest: str, now_s: float
+    ) -> None:
+        if digest == self.table.digest():
+            self._mismatch_since_s.pop(peer_id, None)
+        else:
+            self._mismatch_since_s.setdefault(peer_id, now_s)
+
+    def _sync_if_needed(self, now_s: float) -> None:
+        """Asks one peer for the rows that differ, at most once a second."""
+        if now_s - self._last_sync_s < MIN_SYNC_INTERVAL_S:
+            return
+        is_settled = now_s - self._table_changed_s >= SYNC_SETTLE_S
+        due = [
+            (since_s, peer_id)
+            for peer_id, since_s in self._mismatch_since_s.items()
+            if now_s - since_s >= SYNC_MAX_DELAY_S
+            or (is_settled and now_s - since_s >= SYNC_SETTLE_S)
+        ]
+        if due:
+            self._request_sync(min(due)[1], now_s)
+
+    def _request_sync(self, peer_id: str, now_s: float) -> None:
+        self._last_sync_s = now_s
+        self._mismatch_since_s.pop(peer_id, None)
+        digests = self.table.bucket_digests()
+        self._links.send(peer_id, messages.MembershipRequest(digests))
+
+    # Messages of peers.
+
+    def on_control(
+        self, instance_id: str, message: messages.ControlMessage
+    ) -> None:
+        """Handles one control message of a peer."""
+        now_s = self._clock()
+        self._check_clock(now_s)
+        match message:
+            case messages.Heartbeat():
+                self._on_heartbeat(instance_id, message, now_s)
+            case messages.Announce():
+                version = Version(
+                    message.version_number, message.version_digest
+                )
+                self._note_version(instance_id, version, now_s)
+            case messages.DeltaRequest():
+                self.dissemination.on_delta_request(instance_id, message, now_s)
+            case messages.DeltaReply():
+                self.dissemination.on_delta_reply(instance_id, message, now_s)
+            case messages.MembershipUpdate():
+                self._on_membership_update(instance_id, message, now_s)
+            case messages.MembershipRequest():
+                rows = self.table.rows_differing(message.membership_digest)
+                self._send_rows(instance_id, rows, is_full=True)
+            case messages.ProbeRequest():
+                self.detector.on_probe_request(instance_id, message, now_s)
+                self._update_targets()
+            case messages.ProbeReply():
+                self.detector.on_probe_reply(instance_id, message, now_s)
+        self.detector.on_heard(instance_id, now_s)
+
+    def _on_heartbeat(
+        self, peer_id: str, heartbeat: messages.Heartbeat, now_s: float
+    ) -> None:
+        self.detector.on_heartbeat(peer_id, heartbeat, now_s)
+        version = Version(heartbeat.version_number, heartbeat.version_digest)
+        self._note_version(peer_id, version, now_s)
+        self._note_peer_digest(peer_id, heartbeat.membership_digest, now_s)
+
+    def _heartbeat_state(self) -> tuple[Version, str]:
+        return self._store.version, self.table.digest()
+
+    def on_link_up(self, hello: messages.Hello) -> None:
+        """Handles a new control connection."""
+        now_s = self._clock()
+        self._check_clock(now_s)
+        peer_id = hello.instance_id
+        self._reached.add(peer_id)
+        known = self.table.get(peer_id)
+        if known is not None and known.incarnation < hello.incarnation:
+            alive = Member(known.instance, hello.incarnation, MemberState.ALIVE)
+            changed = self.table.merge((alive,), now_s)
+            self._note_changes(changed, peer_id, now_s)
+        self.detector.on_link_up(peer_id, now_s)
+        rows = [self.table.own]
+        if known is not None and known.incarnation >= hello.incarnation:
+            # A peer that was reported suspect or dead refutes this row.
+            rows.append(known)
+        self._send_rows(peer_id, tuple(rows), is_full=False)
+        version = Version(hello.version_number, hello.version_digest)
+        self._note_version(peer_id, version, now_s)
+        if not self._has_joined:
+            # The table of a node that just started is known to be behind.
+            self._mismatch_since_s[peer_id] = now_s - SYNC_MAX_DELAY_S
+
+    def on_link_down(self, instance_id: str) -> None:
+        """Handles the loss of a control connection."""
+        now_s = self._clock()
+        self._check_clock(now_s)
+        if instance_id in self._links.neighbours():
+            # Another connection to the same peer is still open.
+            return
+        self._mismatch_since_s.pop(instance_id, None)
+        self.dissemination.on_link_down(instance_id, now_s)
+        peers_choice = choose_neighbours(self.table, instance_id)
+        is_expected_back = self._self_id in peers_choice
+        self.detector.on_link_down(instance_id, is_expected_back, now_s)
+
+    # Results of the source reader.
+
+    def on_source_answer(self) -> None:
+        """The source answered a read."""
+        self._source_answered = True
+
+    def on_publication(
+        self, manifest: Manifest, parts: Mapping[str, bytes]
+    ) -> None:
+        """Takes a complete version from the source."""
+        self.dissemination.on_publication(manifest, parts, self._clock())
+
+    def on_bad_manifest(self, errors: tuple[Any, ...]) -> None:
+        """Keeps the reasons why the source's manifest was not decoded."""
+        self.bad_manifest_errors = errors
+
+    def on_instances(self, listed: tuple[ListedInstance, ...]) -> None:
+        """Merges the platform's instance list."""
+        now_s = self._clock()
+        self._list_was_read = True
+        rows = [(row.instance, row.is_leaving) for row in listed]
+        changed = self.table.merge_list(rows, now_s)
+        self._note_changes(changed, "", now_s)
+        self._update_targets()
+
+    def is_wanted(self, version: Version) -> bool:
+        """Whether the source reader should fetch a version."""
+        return self._store.is_wanted(version)
+
+    def held_part(self, digest: str) -> bytes | None:
+        """Returns a part of the snapshot in force, or None."""
+        snapshot = self._store.current
+        return None if snapshot is None else snapshot.parts.get(digest)
+
+
+def _to_entry(member: Member) -> messages.MemberEntry:
+    instance = member.instance
+    return messages.MemberEntry(
+        instance_id=instance.instance_id,
+        service_name=instance.service,
+        zone=instance.zone,
+        region=instance.region,
+        host=instance.host,
+        peer_port=instance.peer_port,
+        incarnation=member.incarnation,
+        state=int(member.state),
+    )
+
+
+def _to_member(entry: messages.MemberEntry) -> Member | None:
+    """Converts a row, or returns None for a state that does not exist."""
+    if not 0 <= entry.state <= max(MemberState):
+        return None
+    instance = Instance(
+        instance_id=entry.instance_id,
+        service=entry.service_name,
+        zone=entry.zone,
+        region=entry.region,
+        host=entry.host,
+        peer_port=entry.peer_port,
+    )
+    return Member(instance, entry.incarnation, MemberState(entry.state))
--- /dev/null
+++ b/magnoliafork/source/budget.py
@@ -0,0 +1,88 @@
+"""Limits on how often one node reads the configuration service."""
+
+import random
+
+# Rounding in the refill must not leave a waiting reader a fraction short.
+_EPSILON_TOKENS = 1e-9
+
+
+class ReadBudget:
+    """Token bucket with this node's share of the fleet's reads.
+
+    The bucket holds one token, which spaces reads by at least 1 / rate: a
+    larger bucket would let the whole fleet burst at once after an outage.
+    It starts at a random level, so that nodes that start together spread
+    their first reads over one interval.
+    """
+
+    def __init__(
+        self,
+        fleet_reads_per_s: float,
+        fleet_size_floor: int,
+        rng: random.Random,
+        now_s: float,
+    ) -> None:
+        """Creates a bucket.
+
+        Args:
+            fleet_reads_per_s: Reads of all nodes together.
+            fleet_size_floor: Smallest fleet size assumed; protects the
+                source while a starting node knows few of its peers.
+            rng: Source of the initial level.
+            now_s: Current time.
+        """
+        self._fleet_reads_per_s = fleet_reads_per_s
+        self._fleet_size_floor = max(1, fleet_size_floor)
+        self._rate_per_s = fleet_reads_per_s / self._fleet_size_floor
+        self._tokens = rng.random()
+        self._updated_s = now_s
+
+    @property
+    def rate_per_s(self) -> float:
+        """Reads that this node may make per second."""
+        return self._rate_per_s
+
+    def set_known_fleet(self, size: int, now_s: float) -> None:
+        """Adapts the rate to the number of known nodes."""
+        self._refill(now_s)
+        fleet_size = max(size, self._fleet_size_floor)
+        self._rate_per_s = self._fleet_reads_per_s / fleet_size
+
+    def take(self, now_s: float) -> float:
+        """Takes one read if there is one.
+
+        Returns:
+            0 when the read may start now, else the time to wait before the
+            next attempt, in seconds.
+        """
+        self._refill(now_s)
+        if self._tokens >= 1 - _EPSILON_TOKENS:
+            self._tokens = max(0.0, self._tokens - 1)
+            return 0.0
+        return (1 - self._tokens) / self._rate_per_s
+
+    def _refill(self, now_s: float) -> None:
+        elapsed_s = max(0.0, now_s - self._updated_s)
+        self._updated_s = max(now_s, self._updated_s)
+        self._tokens = min(1.0, self._tokens + elapsed_s * self._rate_per_s)
+
+
+class Backoff:
+    """Capped exponential back-off with full jitter."""
+
+    def __init__(self, base_s: float, rng: random.Random) -> None:
+        """Creates a back-off whose first delay is below `base_s`."""
+        self._base_s = base_s
+        self._rng = rng
+        self._limit_s = base_s
+
+    def next_delay_s(self, cap_s: float) -> float:
+        """Returns a random delay and doubles the limit of the next one."""
+        self._limit_s = min(cap_s, self._limit_s)
+        delay_s = self._rng.uniform(0, self._limit_s)
+        self._limit_s *= 2
+        return delay_s
+
+    def reset(self) -> None:
+        """Starts again from the base."""
+        self._limit_s = self._base_s
--- /dev/null
+++ b/magnoliafork/source/reader.py
@@ -0,0 +1,396 @@
+"""Reads the configuration and the instance list from the source."""
+
+import asyncio
+import dataclasses
+import json
+import random
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol
+
+from magnoliafork.model.instance import Instance, MemberState
+from magnoliafork.model.manifest import Manifest, sha256_hex
+from magnoliafork.model.result import Err, Result
+from magnoliafork.model.version import Version
+from magnoliafork.source.api import (
+    INSTANCES_KEY,
+    MANIFEST_KEY,
+    ConfigSource,
+    SourceMissing,
+    SourceUnavailable,
+    SourceUnchanged,
+    SourceValue,
+    WatchOutcome,
+    part_key,
+)
+from magnoliafork.source.budget import Backoff, ReadBudget
+
+WATCH_WAIT_S = 30.0
+BACKOFF_BASE_S = 1.0
+# Half of the 16 s in which a version must be in force everywhere. Only the
+# readers of a zone retry that often; the others get versions from peers.
+READER_BACKOFF_CAP_S = 8.0
+BACKOFF_CAP_S = 60.0
+# Small fleets would otherwise read several times a second.
+MIN_BACKGROUND_PERIOD_S = 10.0
+MIN_INSTANCES_PERIOD_S = 30.0
+# At 2,300 instances the list has about 400 KB; a node may use 3 KB/s for all
+# control work.
+INSTANCES_BYTES_PER_S = 400.0
+# Bounds the time until a node that becomes a reader of its zone watches.
+_ROLE_CHECK_S = 1.0
+# A watch that waits for less would cost a read and end without a change.
+_MIN_WATCH_WAIT_S = 1.0
+_TEXT_FIELDS = ("instance_id", "service", "zone", "region", "host")
+
+# The error type belongs to the snapshot package.
+ParseManifest = Callable[[bytes], Result[Manifest, Any]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedInstance:
+    """One instance of the platform's list.
+
+    Attributes:
+        instance: The instance.
+        is_leaving: Whether the platform is taking it away.
+    """
+
+    instance: Instance
+    is_leaving: bool
+
+
+class SourceEvents(Protocol):
+    """Receives what a `SourceReader` finds."""
+
+    def on_source_answer(self) -> None:
+        """The source answered a read, whatever the content."""
+        ...
+
+    def on_publication(
+        self, manifest: Manifest, parts: Mapping[str, bytes]
+    ) -> None:
+        """A wanted version is complete; every part matches its digest."""
+        ...
+
+    def on_bad_manifest(self, errors: tuple[Any, ...]) -> None:
+        """The manifest cannot be decoded; reported once per content."""
+        ...
+
+    def on_instances(self, listed: tuple[ListedInstance, ...]) -> None:
+        """The platform's instance list was read."""
+        ...
+
+
+class VersionFilter(Protocol):
+    """Tells which versions are worth fetching and which parts are held."""
+
+    def is_wanted(self, version: Version) -> bool:
+        """Whether the version is newer than the one in force and valid."""
+        ...
+
+    def held_part(self, digest: str) -> bytes | None:
+        """Returns a part that need not be fetched, or None."""
+        ...
+
+
+@dataclasses.dataclass(slots=True)
+class ReaderCounters:
+    """Events for metrics."""
+
+    reads: int = 0
+    unavailable: int = 0
+    unwanted_versions: int = 0
+    torn_publications: int = 0
+    publications: int = 0
+    bad_manifests: int = 0
+    bad_instance_lists: int = 0
+
+
+class SourceReader:
+    """Reads the source as two tasks: the manifest and the instance list.
+
+    A reader of its zone watches the manifest. Every node also reads it
+    slowly, which finds changes that a watch misses after the source's
+    revisions went back, and lets an isolated node converge.
+    """
+
+    def __init__(
+        self,
+        source: ConfigSource,
+        budget: ReadBudget,
+        parse_manifest: ParseManifest,
+        versions: VersionFilter,
+        events: SourceEvents,
+        *,
+        is_zone_reader: Callable[[], bool],
+        fleet_size: Callable[[], int],
+        background_reads_per_s: float,
+        rng: random.Random,
+    ) -> None:
+        """Creates a reader that does nothing before `start`.
+
+        Args:
+            source: The configuration service.
+            budget: Pays for every read and watch.
+            parse_manifest: Decodes and checks a manifest.
+            versions: Version order and the parts already held.
+            events: Receives the results.
+            is_zone_reader: Whether this node watches for its zone now.
+            fleet_size: Number of known instances.
+            background_reads_per_s: Slow reads of the whole fleet.
+            rng: Source of jitter.
+        """
+        self.counters = ReaderCounters()
+        self._source = source
+        self._budget = budget
+        self._parse_manifest = parse_manifest
+        self._versions = versions
+        self._events = events
+        self._is_zone_reader = is_zone_reader
+        self._fleet_size = fleet_size
+        self._background_reads_per_s = background_reads_per_s
+        self._rng = rng
+        self._backoff = Backoff(BACKOFF_BASE_S, rng)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._revision = 0
+        self._background_due_s = 0.0
+        self._bad_digest = ""
+        self._partial: dict[str, bytes] = {}
+
+    def start(self) -> None:
+        """Starts the reading tasks in the running loop."""
+        if self._tasks:
+            return
+        self._tasks = [
+            asyncio.create_task(self._manifest_loop()),
+            asyncio.create_task(self._instances_loop()),
+        ]
+        for task in self._tasks:
+            task.add_done_callback(_report_failure)
+
+    async def stop(self) -> None:
+        """Ends the reading tasks and waits for them."""
+        tasks, self._tasks = self._tasks, []
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _manifest_loop(self) -> None:
+        outcome = await self._read_manifest()
+        while True:
+            if await self._is_settled(outcome):
+                self._backoff.reset()
+                outcome = await self._next_manifest()
+            else:
+                cap_s = BACKOFF_CAP_S
+                if self._is_zone_reader():
+                    cap_s = READER_BACKOFF_CAP_S
+                await asyncio.sleep(self._backoff.next_delay_s(cap_s))
+                outcome = await self._read_manifest()
+
+    async def _is_settled(self, outcome: WatchOutcome) -> bool:
+        """Processes a manifest; false asks for a new read after back-off."""
+        if isinstance(outcome, SourceUnchanged):
+            return True
+        if isinstance(outcome, SourceUnavailable):
+            return False
+        if isinstance(outcome, SourceMissing):
+            self._revision = 0
+            return False
+        self._revision = outcome.revision
+        return await self._take_manifest(outcome.content)
+
+    async def _next_manifest(self) -> WatchOutcome:
+        """Waits for a change or until the slow read is due."""
+        while True:
+            left_s = self._background_due_s - _now_s()
+            if left_s <= 0:
+                return await self._read_manifest()
+            if self._is_zone_reader():
+                return await self._watch_manifest(min(left_s, WATCH_WAIT_S))
+            await asyncio.sleep(min(left_s, _ROLE_CHECK_S))
+
+    async def _read_manifest(self) -> WatchOutcome:
+        outcome = await self._read(MANIFEST_KEY)
+        period_s = self._background_period_s()
+        self._background_due_s = _now_s() + self._rng.uniform(0, 2 * period_s)
+        return outcome
+
+    async def _watch_manifest(self, wait_s: float) -> WatchOutcome:
+        await self._pay()
+        outcome = await self._source.watch(
+            MANIFEST_KEY, self._revision, max(_MIN_WATCH_WAIT_S, wait_s)
+        )
+        self._count(outcome)
+        return outcome
+
+    def _background_period_s(self) -> float:
+        period_s = self._fleet_size() / self._background_reads_per_s
+        return max(MIN_BACKGROUND_PERIOD_S, period_s)
+
+    async def _take_manifest(self, content: bytes) -> bool:
+        """Fetches the parts of a wanted version; false when it is torn."""
+        parsed = self._parse_manifest(content)
+        if isinstance(parsed, Err):
+            self._report_bad_manifest(content, parsed.errors)
+            return True
+        manifest = parsed.value
+        version = manifest.version()
+        if not self._versions.is_wanted(version):
+            self.counters.unwanted_versions += 1
+            self._partial = {}
+            return True
+        parts = await self._fetch_parts(manifest)
+        if not self._versions.is_wanted(version):
+            # A peer delivered this version or a newer one in the meantime.
+            self._partial = {}
+            return True
+        if parts is None:
+            self.counters.torn_publications += 1
+            return False
+        self._partial = {}
+        self.counters.publications += 1
+        self._events.on_publication(manifest, parts)
+        return True
+
+    def _report_bad_manifest(
+        self, content: bytes, errors: tuple[Any, ...]
+    ) -> None:
+        digest = sha256_hex(content)
+        if digest == self._bad_digest:
+            return
+        self._bad_digest = digest
+        self.counters.bad_manifests += 1
+        self._events.on_bad_manifest(errors)
+
+    async def _fetch_parts(self, manifest: Manifest) -> dict[str, bytes] | None:
+        """Returns all parts by digest, or None when one is not there yet."""
+        wanted = {part.digest for part in manifest.parts}
+        self._partial = {
+            digest: content
+            for digest, content in self._partial.items()
+            if digest in wanted
+        }
+        version = manifest.version()
+        parts: dict[str, bytes] = {}
+        for digest in sorted(wanted):
+            if not self._versions.is_wanted(version):
+                return None
+            content = await self._part(digest)
+            if content is None:
+                return None
+            parts[digest] = content
+        return parts
+
+    async def _part(self, digest: str) -> bytes | None:
+        held = self._versions.held_part(digest)
+        if held is None:
+            held = self._partial.get(digest)
+        if held is not None:
+            return held
+        outcome = await self._read(part_key(digest))
+        if not isinstance(outcome, SourceValue):
+            return None
+        if sha256_hex(outcome.content) != digest:
+            return None
+        self._partial[digest] = outcome.content
+        return outcome.content
+
+    async def _instances_loop(self) -> None:
+        backoff = Backoff(BACKOFF_BASE_S, self._rng)
+        while True:
+            outcome = await self._read(INSTANCES_KEY)
+            if isinstance(outcome, SourceValue):
+                backoff.reset()
+                self._take_instances(outcome.content)
+                period_s = self._instances_period_s(len(outcome.content))
+                await asyncio.sleep(self._rng.uniform(0.5, 1.5) * period_s)
+            else:
+                await asyncio.sleep(backoff.next_delay_s(BACKOFF_CAP_S))
+
+    def _instances_period_s(self, size_bytes: int) -> float:
+        return max(
+            MIN_INSTANCES_PERIOD_S,
+            self._background_period_s(),
+            size_bytes / INSTANCES_BYTES_PER_S,
+        )
+
+    def _take_instances(self, content: bytes) -> None:
+        listed = parse_instances(content)
+        if listed is None:
+            self.counters.bad_instance_lists += 1
+            return
+        self._events.on_instances(listed)
+
+    async def _read(self, key: str) -> WatchOutcome:
+        await self._pay()
+        outcome = await self._source.read(key)
+        self._count(outcome)
+        return outcome
+
+    async def _pay(self) -> None:
+        while True:
+            now_s = _now_s()
+            self._budget.set_known_fleet(self._fleet_size(), now_s)
+            wait_s = self._budget.take(now_s)
+            if wait_s == 0:
+                return
+            await asyncio.sleep(wait_s)
+
+    def _count(self, outcome: WatchOutcome) -> None:
+        self.counters.reads += 1
+        if isinstance(outcome, SourceUnavailable):
+            self.counters.unavailable += 1
+            return
+        self._events.on_source_answer()
+
+
+def parse_instances(content: bytes) -> tuple[ListedInstance, ...] | None:
+    """Decodes the platform's instance list.
+
+    Entries that lack a field are left out, so that one bad entry does not
+    hide the others.
+
+    Returns:
+        The instances, or None when the value is not a JSON list.
+    """
+    try:
+        rows = json.loads(content)
+    except ValueError:
+        return None
+    if not isinstance(rows, list):
+        return None
+    parsed = (_parse_row(row) for row in rows)
+    return tuple(row for row in parsed if row is not None)
+
+
+def _parse_row(row: object) -> ListedInstance | None:
+    if not isinstance(row, dict):
+        return None
+    texts = [row.get(name) for name in _TEXT_FIELDS]
+    port = row.get("peer_port")
+    if not all(isinstance(text, str) and text for text in texts):
+        return None
+    if not isinstance(port, int) or not 0 < port < 65_536:
+        return None
+    instance_id, service, zone, region, host = map(str, texts)
+    instance = Instance(instance_id, service, zone, region, host, port)
+    state = str(row.get("state", "")).upper()
+    return ListedInstance(instance, state == MemberState.LEAVING.name)
+
+
+def _report_failure(task: asyncio.Task[None]) -> None:
+    """Makes a broken invariant visible instead of ending a task silently."""
+    if task.cancelled():
+        return
+    task.get_loop().call_exception_handler(
+        {
+            "message": "source reader task failed",
+            "exception": task.exception(),
+            "task": task,
+        }
+    )
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
