--- a/magnoliafork/tests/cluster/fakes.py
+++ b/magnoliafork/tests/cluster/fakes.py
@@ -154,9 +154,11 @@
             value = self._get(key)
             if isinstance(value, SourceUnavailable):
                 return value
-            if isinstance(value, SourceValue):
-                if value.revision > after_revision:
-                    return value
+            if (
+                isinstance(value, SourceValue)
+                and value.revision > after_revision
+            ):
+                return value
         return SourceUnchanged()
 
 
