--- /dev/null
+++ b/magnoliafork/proxy/homes.py
@@ -0,0 +1,179 @@
+"""Asks other instances that may have been home of an idempotency key."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable, Iterable
+
+from magnoliafork.admission.ledger import KEEP_OUTCOME_S
+from magnoliafork.balance.home import rank
+from magnoliafork.model.instance import Instance, MemberState
+from magnoliafork.model.request import NotRunReason, UnknownReason
+from magnoliafork.model.view import MembershipView
+from magnoliafork.proxy import replies
+from magnoliafork.wire import messages
+from magnoliafork.wire.api import LinkFailure, PeerCalls
+
+# A run that another instance began just before the home changed may end a
+# deadline and a grace time later; its outcome counts from then on.
+RUN_MARGIN_S = 60.0
+POSSIBLE_HOME_S = KEEP_OUTCOME_S + RUN_MARGIN_S
+# Bounds the chain of moves that one claim follows.
+MAX_ASKED = 64
+# An asked instance whose own attempt was refused meanwhile is asked again.
+MAX_ROUNDS = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """Result of asking the other possible homes.
+
+    Attributes:
+        settled: What another instance did with the request, or None.
+        is_complete: Whether every possible home answered.
+        handed_over: Instances that will not run the request any more.
+    """
+
+    settled: replies.Settled | None
+    is_complete: bool
+    handed_over: frozenset[str] = frozenset()
+
+
+class Homes:
+    """Finds and asks the other possible homes of a request."""
+
+    def __init__(
+        self,
+        instance: Instance,
+        members: MembershipView,
+        peers: PeerCalls,
+        now: Callable[[], float],
+    ) -> None:
+        """Creates the client side of home changes."""
+        self._instance = instance
+        self._members = members
+        self._peers = peers
+        self._now = now
+
+    def ranks_above(self, other_id: str, request_id: str) -> bool:
+        """Returns whether another instance ranks above this one."""
+        own_id = self._instance.instance_id
+        return rank(request_id, (own_id, other_id))[0] != own_id
+
+    def candidates(self, request_id: str, eligible_for_s: float) -> set[str]:
+        """Returns the instances that may have run a request before.
+
+        Args:
+            request_id: Id of the request.
+            eligible_for_s: How long this instance has taken new work.
+        """
+        own_id = self._instance.instance_id
+        known = {
+            member.instance.instance_id: member
+            for member in self._members.members_of(self._instance.service)
+        }
+        ordered = rank(request_id, {*known, own_id})
+        if eligible_for_s >= POSSIBLE_HOME_S:
+            ordered = ordered[: ordered.index(own_id)]
+        return {
+            other_id
+            for other_id in ordered
+            if other_id != own_id
+            and not self._is_long_dead(other_id, known[other_id].state)
+        }
+
+    async def claim(
+        self, request_id: str, first: Iterable[str], deadline_s: float
+    ) -> Claim:
+        """Binds a request to this instance at the other possible homes."""
+        waiting = set(first)
+        rounds = dict.fromkeys(waiting, 1)
+        asking: dict[asyncio.Task[messages.StreamReply | LinkFailure], str]
+        asking = {}
+        handed_over: set[str] = set()
+        is_complete = True
+        try:
+            while waiting or asking:
+                for other_id in waiting:
+                    ask = self._ask(other_id, request_id, deadline_s)
+                    asking[asyncio.create_task(ask)] = other_id
+                waiting = set()
+                done, _ = await asyncio.wait(
+                    asking, return_when=asyncio.FIRST_COMPLETED
+                )
+                for task in done:
+                    other_id = asking.pop(task)
+                    reply = task.result()
+                    settled = _settled_by(reply)
+                    if settled is not None:
+                        return Claim(settled, True)
+                    if self._is_bound(reply):
+                        handed_over.add(other_id)
+                        continue
+                    next_id = _next_to_ask(other_id, reply)
+                    count = rounds.get(next_id, 0) + 1
+                    if next_id in handed_over:
+                        continue
+                    is_allowed = count <= MAX_ROUNDS and (
+                        len(rounds) < MAX_ASKED
+                    )
+                    if not next_id or not is_allowed:
+                        is_complete = False
+                        continue
+                    rounds[next_id] = count
+                    if next_id not in asking.values():
+                        waiting.add(next_id)
+        finally:
+            for task in asking:
+                task.cancel()
+        return Claim(None, is_complete, frozenset(handed_over))
+
+    async def _ask(
+        self, other_id: str, request_id: str, deadline_s: float
+    ) -> messages.StreamReply | LinkFailure:
+        return await self._peers.fence(
+            other_id,
+            request_id,
+            0,
+            max(0.0, deadline_s - self._now()),
+            self._instance.instance_id,
+        )
+
+    def _is_bound(self, reply: messages.StreamReply | LinkFailure) -> bool:
+        if isinstance(reply, messages.CallFenceReply):
+            return reply.state == messages.FenceState.NEVER_RAN
+        if not isinstance(reply, messages.CallRefused):
+            return False
+        is_moved = reply.reason == NotRunReason.MOVED
+        return is_moved and reply.moved_to == self._instance.instance_id
+
+    def _is_long_dead(self, other_id: str, state: MemberState) -> bool:
+        if state is not MemberState.DEAD:
+            return False
+        age_s = self._members.state_age_s(other_id, self._now())
+        return age_s > KEEP_OUTCOME_S
+
+
+def _settled_by(
+    reply: messages.StreamReply | LinkFailure,
+) -> replies.Settled | None:
+    """Returns what an asked instance did with the request, if it did."""
+    if isinstance(reply, messages.CallAnswer):
+        return replies.Settled(replies.answer_of(reply))
+    if isinstance(reply, messages.CallUnknown):
+        return replies.unknown(replies.unknown_reason_of(reply.reason))
+    if not isinstance(reply, messages.CallFenceReply):
+        return None
+    if reply.state != messages.FenceState.FORGOTTEN:
+        return None
+    return replies.unknown(UnknownReason.ANSWER_FORGOTTEN)
+
+
+def _next_to_ask(
+    other_id: str, reply: messages.StreamReply | LinkFailure
+) -> str:
+    """Returns who may know more after an inconclusive reply, else empty."""
+    if not isinstance(reply, messages.CallRefused):
+        return ""
+    if reply.reason == NotRunReason.MOVED:
+        return reply.moved_to
+    return other_id
--- /dev/null
+++ b/magnoliafork/proxy/upstream.py
@@ -0,0 +1,329 @@
+"""Calls to the upstream beside this node."""
+
+import dataclasses
+from types import SimpleNamespace
+from typing import Protocol
+
+import aiohttp
+import yarl
+
+from magnoliafork.model.request import Headers, NotRunReason, UnknownReason
+
+DEADLINE_HEADER = "Magnolia-Deadline-Ms"
+TRACEPARENT_HEADER = "traceparent"
+BOOT_ID_HEADER = "Upstream-Boot-Id"
+NOT_RUN_HEADER = "Upstream-Not-Run"
+MAX_BODY_BYTES = 1024 * 1024
+# A loopback connection takes about 1 ms; a full accept backlog would else
+# hold a request until its deadline.
+CONNECT_TIMEOUT_S = 1.0
+KEEPALIVE_TIMEOUT_S = 15.0
+
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+_SET_HERE = frozenset(
+    {
+        "content-length",
+        "expect",
+        DEADLINE_HEADER.lower(),
+        TRACEPARENT_HEADER,
+    }
+)
+_INTERNAL = frozenset({BOOT_ID_HEADER.lower(), NOT_RUN_HEADER.lower()})
+_BODILESS_STATUSES = frozenset({204, 304})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamRequest:
+    """A request for the upstream.
+
+    Attributes:
+        method: HTTP method.
+        path: Path with its query string, passed on as it is.
+        headers: End-to-end headers.
+        body: Whole body.
+        remaining_ms: Time until the deadline.
+        traceparent: W3C trace context, or an empty string.
+        repeatable: Whether the request may run more than once.
+        is_fresh: Whether the request needs a connection of its own; always
+            the case when it is not repeatable.
+    """
+
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    remaining_ms: int
+    traceparent: str
+    repeatable: bool
+    is_fresh: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamAnswer:
+    """The upstream's whole answer; `boot_id` is empty if it names none."""
+
+    status: int
+    headers: Headers
+    body: bytes
+    boot_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamNotRun:
+    """The upstream certainly did not run the request."""
+
+    reason: NotRunReason
+    retry_after_ms: int
+    boot_id: str
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamUnknown:
+    """The upstream may have run the request.
+
+    Attributes:
+        reason: Cause.
+        detail: Cause for logs.
+        is_connection_lost: Whether the connection broke, which a restart of
+            the upstream may have caused.
+    """
+
+    reason: UnknownReason
+    detail: str
+    is_connection_lost: bool = True
+
+
+UpstreamResult = UpstreamAnswer | UpstreamNotRun | UpstreamUnknown
+
+
+class Upstream(Protocol):
+    """The upstream that this node guards."""
+
+    async def send(self, request: UpstreamRequest) -> UpstreamResult:
+        """Sends one request at most once if it is not repeatable.
+
+        Cancelling the calling task closes the connection.
+        """
+        ...
+
+
+class _SecondConnectionError(Exception):
+    """aiohttp wants to repeat a request on another connection."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """How far the sending of one request came."""
+
+    is_single: bool
+    has_connection: bool = False
+
+
+class HttpUpstream:
+    """Sends requests over HTTP/1.1 to an address on the loopback."""
+
+    def __init__(
+        self, host: str, port: int, max_body_bytes: int = MAX_BODY_BYTES
+    ) -> None:
+        """Creates the client; must be called in a running event loop."""
+        self._base = f"http://{host}:{port}"
+        self._max_body_bytes = max_body_bytes
+        self._pooled = _session(
+            aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_TIMEOUT_S)
+        )
+        self._fresh = _session(aiohttp.TCPConnector(limit=0, force_close=True))
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._pooled.close()
+        await self._fresh.close()
+
+    async def send(self, request: UpstreamRequest) -> UpstreamResult:
+        """Sends one request; see `Upstream`."""
+        progress = _Progress(is_single=not request.repeatable)
+        try:
+            return await self._exchange(request, progress)
+        except _SecondConnectionError:
+            return _broken("connection broke before the answer")
+        except aiohttp.ClientConnectorError as error:
+            if progress.has_connection:
+                return _broken(str(error))
+            return _not_run(NotRunReason.UNREACHABLE, str(error))
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            detail = f"{type(error).__name__}: {error}"
+            if progress.has_connection:
+                return _broken(detail)
+            return _not_run(NotRunReason.UNREACHABLE, detail)
+        except ValueError as error:
+            if progress.has_connection:
+                return _broken(str(error))
+            return _not_run(NotRunReason.BAD_REQUEST, str(error))
+
+    async def _exchange(
+        self, request: UpstreamRequest, progress: _Progress
+    ) -> UpstreamResult:
+        is_fresh = request.is_fresh or not request.repeatable
+        session = self._fresh if is_fresh else self._pooled
+        url = yarl.URL(self._base + request.path, encoded=True)
+        async with session.request(
+            request.method,
+            url,
+            headers=_request_headers(request),
+            data=request.body or None,
+            allow_redirects=False,
+            trace_request_ctx=progress,
+        ) as response:
+            return await self._read(request.method, response)
+
+    async def _read(
+        self, method: str, response: aiohttp.ClientResponse
+    ) -> UpstreamResult:
+        boot_id = response.headers.get(BOOT_ID_HEADER, "")
+        is_not_run = response.headers.get(NOT_RUN_HEADER) == "1"
+        if response.status == 503 and is_not_run:
+            return UpstreamNotRun(
+                NotRunReason.UPSTREAM_REFUSED,
+                _retry_after_ms(response.headers.get("Retry-After", "")),
+                boot_id,
+                "load shedding",
+            )
+        if not _is_framed(method, response):
+            return _unusable("the end of the body cannot be verified")
+        body = bytearray()
+        async for chunk in response.content.iter_any():
+            body += chunk
+            if len(body) > self._max_body_bytes:
+                return _unusable("the answer exceeds the body limit")
+        return UpstreamAnswer(
+            response.status,
+            _answer_headers(method, response),
+            bytes(body),
+            boot_id,
+        )
+
+
+def _session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        timeout=aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_S
+        ),
+        skip_auto_headers=(
+            "Accept",
+            "Accept-Encoding",
+            "Content-Type",
+            "User-Agent",
+        ),
+        trace_configs=[_progress_tracing()],
+    )
+
+
+def _progress_tracing() -> aiohttp.TraceConfig:
+    """Tells a request that failed to connect from one that may have run.
+
+    aiohttp repeats requests with idempotent methods by itself when the
+    connection breaks, even a fresh one; opening a second connection for a
+    request that may not be repeated fails here instead.
+    """
+
+    async def on_create_start(
+        session: aiohttp.ClientSession,
+        context: SimpleNamespace,
+        params: aiohttp.TraceConnectionCreateStartParams,
+    ) -> None:
+        progress: _Progress = context.trace_request_ctx
+        if progress.is_single and progress.has_connection:
+            raise _SecondConnectionError
+
+    async def on_connected(
+        session: aiohttp.ClientSession,
+        context: SimpleNamespace,
+        params: object,
+    ) -> None:
+        context.trace_request_ctx.has_connection = True
+
+    tracing = aiohttp.TraceConfig()
+    tracing.on_connection_create_start.append(on_create_start)
+    tracing.on_connection_create_end.append(on_connected)
+    tracing.on_connection_reuseconn.append(on_connected)
+    return tracing
+
+
+def _request_headers(request: UpstreamRequest) -> list[tuple[str, str]]:
+    kept = [
+        (name, value)
+        for name, value in _end_to_end(request.headers)
+        if name.lower() not in _SET_HERE
+    ]
+    kept.append((DEADLINE_HEADER, str(max(0, request.remaining_ms))))
+    if request.traceparent:
+        kept.append((TRACEPARENT_HEADER, request.traceparent))
+    return kept
+
+
+def _answer_headers(method: str, response: aiohttp.ClientResponse) -> Headers:
+    received = tuple(
+        (name.decode("utf-8", "replace"), value.decode("utf-8", "replace"))
+        for name, value in response.raw_headers
+    )
+    dropped = _INTERNAL
+    # The length of a body that is present follows from the body itself.
+    if method != "HEAD" and response.status != 304:
+        dropped = dropped | {"content-length"}
+    return tuple(
+        (name, value)
+        for name, value in _end_to_end(received)
+        if name.lower() not in dropped
+    )
+
+
+def _end_to_end(headers: Headers) -> Headers:
+    """Strips the headers that concern one connection only."""
+    dropped = set(_HOP_BY_HOP)
+    for name, value in headers:
+        if name.lower() == "connection":
+            dropped.update(token.strip().lower() for token in value.split(","))
+    return tuple(
+        (name, value) for name, value in headers if name.lower() not in dropped
+    )
+
+
+def _is_framed(method: str, response: aiohttp.ClientResponse) -> bool:
+    """Returns whether a cut body would be noticed."""
+    if method == "HEAD" or response.status in _BODILESS_STATUSES:
+        return True
+    if "Content-Length" in response.headers:
+        return True
+    encoding = response.headers.get("Transfer-Encoding", "")
+    return encoding.lower().endswith("chunked")
+
+
+def _retry_after_ms(value: str) -> int:
+    return int(value) * 1000 if value.isdecimal() else 0
+
+
+def _not_run(reason: NotRunReason, detail: str) -> UpstreamNotRun:
+    return UpstreamNotRun(reason, 0, "", detail)
+
+
+def _unusable(detail: str) -> UpstreamUnknown:
+    return UpstreamUnknown(UnknownReason.UPSTREAM_BROKE, detail, False)
+
+
+def _broken(detail: str) -> UpstreamUnknown:
+    return UpstreamUnknown(UnknownReason.UPSTREAM_BROKE, detail)
