--- /dev/null
+++ b/magnoliafork/balance/ejection.py
@@ -0,0 +1,92 @@
+"""Outlier ejection: keeps work away from instances that keep failing."""
+
+import dataclasses
+from collections.abc import Callable
+
+CONSECUTIVE_FAILURES = 5
+FIRST_EJECTION_S = 5.0
+MAX_EJECTION_S = 60.0
+# More ejected instances would overload the remaining ones.
+MAX_EJECTED_DIVISOR = 3
+
+
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    service: str
+    failures: int = 0
+    last_ejection_s: float = 0.0
+    ejected_until_s: float = float("-inf")
+
+
+class OutlierEjection:
+    """Table of consecutive failures and ejections."""
+
+    def __init__(self) -> None:
+        """Creates an empty table."""
+        self._entries: dict[str, _Entry] = {}
+        self.ejections = 0
+
+    def is_ejected(self, instance_id: str, now_s: float) -> bool:
+        """Tells whether an instance is ejected."""
+        entry = self._entries.get(instance_id)
+        return entry is not None and now_s < entry.ejected_until_s
+
+    def succeeded(self, instance_id: str, now_s: float) -> None:
+        """Counts a success.
+
+        The length of the next ejection starts over once the instance has been
+        back for as long as it was ejected.
+        """
+        entry = self._entries.get(instance_id)
+        if entry is None:
+            return
+        entry.failures = 0
+        if now_s >= entry.ejected_until_s + entry.last_ejection_s:
+            del self._entries[instance_id]
+
+    def failed(
+        self, service: str, instance_id: str, instance_count: int, now_s: float
+    ) -> None:
+        """Counts a failure and ejects the instance after too many.
+
+        Args:
+            service: Service of the instance.
+            instance_id: Instance that failed.
+            instance_count: Number of candidates of the service, for the cap.
+            now_s: Current time.
+        """
+        entry = self._entries.get(instance_id)
+        if entry is None:
+            entry = self._entries[instance_id] = _Entry(service)
+        if now_s < entry.ejected_until_s:
+            return
+        entry.failures += 1
+        if entry.failures < CONSECUTIVE_FAILURES:
+            return
+        if self._has_room(service, instance_count, now_s):
+            self._eject(entry, now_s)
+
+    def retain(self, is_known: Callable[[str], bool]) -> None:
+        """Drops entries of instances that no longer exist."""
+        gone = [name for name in self._entries if not is_known(name)]
+        for name in gone:
+            del self._entries[name]
+
+    def _has_room(
+        self, service: str, instance_count: int, now_s: float
+    ) -> bool:
+        ejected = sum(
+            1
+            for entry in self._entries.values()
+            if entry.service == service and now_s < entry.ejected_until_s
+        )
+        return ejected + 1 <= instance_count // MAX_EJECTED_DIVISOR
+
+    def _eject(self, entry: _Entry, now_s: float) -> None:
+        length_s = min(
+            max(entry.last_ejection_s * 2, FIRST_EJECTION_S), MAX_EJECTION_S
+        )
+        entry.failures = 0
+        entry.last_ejection_s = length_s
+        entry.ejected_until_s = now_s + length_s
+        self.ejections += 1
--- /dev/null
+++ b/magnoliafork/balance/retry.py
@@ -0,0 +1,71 @@
+"""Retry budget of a service and the decision to retry."""
+
+import dataclasses
+
+BUDGET_RATIO = 0.1
+BUDGET_PER_S = 3.0
+# Bounds the retries that a quiet time can save up for a sudden failure.
+BUDGET_CAP = 10.0
+
+
+class RetryBudget:
+    """Allows retries and hedges for 10% of the requests plus 3 per second.
+
+    A token bucket: every request adds a fraction of a token, time adds the
+    rest, and each extra attempt takes one token.
+    """
+
+    def __init__(self, now_s: float) -> None:
+        """Creates a budget that holds the tokens of one second."""
+        self._tokens = BUDGET_PER_S
+        self._filled_at_s = now_s
+
+    def add_request(self) -> None:
+        """Adds the share of one caller's request."""
+        self._tokens = min(self._tokens + BUDGET_RATIO, BUDGET_CAP)
+
+    def take(self, now_s: float) -> bool:
+        """Takes one token for an extra attempt; false if none is left."""
+        elapsed_s = max(now_s - self._filled_at_s, 0.0)
+        self._filled_at_s = now_s
+        self._tokens = min(self._tokens + elapsed_s * BUDGET_PER_S, BUDGET_CAP)
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptState:
+    """What the decision to retry depends on, besides the budget.
+
+    Attributes:
+        was_not_run: Whether the last attempt was certainly not run.
+        is_repeatable: Whether the request may run more than once.
+        retries_made: Attempts after the first one so far.
+        retries_allowed: Limit of the route.
+        remaining_s: Time left until the deadline.
+    """
+
+    was_not_run: bool
+    is_repeatable: bool
+    retries_made: int
+    retries_allowed: int
+    remaining_s: float
+
+
+def may_retry(state: AttemptState) -> bool:
+    """Tells whether another attempt is safe and useful.
+
+    >>> may_retry(AttemptState(False, False, 0, 2, 1.0))
+    False
+    >>> may_retry(AttemptState(True, False, 0, 2, 1.0))
+    True
+    >>> may_retry(AttemptState(False, True, 2, 2, 1.0))
+    False
+    """
+    if not state.was_not_run and not state.is_repeatable:
+        return False
+    if state.retries_made >= state.retries_allowed:
+        return False
+    return state.remaining_s > 0.0
--- /dev/null
+++ b/magnoliafork/proxy/attempt.py
@@ -0,0 +1,286 @@
+"""One attempt of a request at one instance, including its fence."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+from magnoliafork.balance.ejection import OutlierEjection
+from magnoliafork.balance.load import LoadTable
+from magnoliafork.model.request import (
+    Answered,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    OutcomeUnknown,
+    UnknownReason,
+)
+from magnoliafork.wire import messages
+from magnoliafork.wire.api import LinkFailure, PeerCalls
+
+# The receiver enforces the deadline too; its verdict says more than a timeout
+# here, so the sender waits this much longer for it.
+VERDICT_GRACE_S = 0.1
+# Time after the deadline in which a fence may still settle the outcome.
+SETTLE_GRACE_S = 0.5
+FENCE_BACK_OFF_S = 0.05
+# The receiver forgets outcomes 120 s after the answer and would then call the
+# request never run. A fence is sent in the first half of that time only, and
+# its reply is trusted only if it arrives with a margin before the end.
+MAX_FENCE_AGE_S = 60.0
+MAX_NEVER_RAN_AGE_S = 110.0
+# A shorter wait says more about the caller's deadline than the instance.
+MIN_TELLING_WAIT_S = 0.3
+MOVED = NotRunReason.MOVED.value
+
+_SERVER_ERROR = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Moved:
+    """The instance has passed the key on to another one."""
+
+    instance_id: str
+
+
+AttemptResult = Outcome | Moved
+
+
+@dataclasses.dataclass(slots=True)
+class CallState:
+    """A request while the sender works on it.
+
+    Attributes:
+        template: Message to send; the remaining time changes per attempt.
+        deadline_s: Loop time at which the caller gives up.
+        first_sent_s: Loop time of the first attempt, or None before it.
+        has_reached: Whether bytes of any attempt may have reached a peer.
+    """
+
+    template: messages.CallRequest
+    deadline_s: float
+    first_sent_s: float | None = None
+    has_reached: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class AttemptCounters:
+    """Counts of attempts since the start.
+
+    Attributes:
+        attempts: Calls given to the peer connections.
+        fences: Fences sent.
+        link_failures: Calls that ended without a reply.
+    """
+
+    attempts: int = 0
+    fences: int = 0
+    link_failures: int = 0
+
+
+class Attempts:
+    """Runs single attempts and learns from their results."""
+
+    def __init__(
+        self,
+        peers: PeerCalls,
+        load: LoadTable,
+        ejection: OutlierEjection,
+        clock: Callable[[], float],
+    ) -> None:
+        """Creates a runner over tables that the chooser reads."""
+        self._peers = peers
+        self._load = load
+        self._ejection = ejection
+        self._clock = clock
+        self.counters = AttemptCounters()
+
+    async def run(
+        self, state: CallState, instance_id: str, instance_count: int
+    ) -> AttemptResult:
+        """Sends a request to one instance and finds out what became of it.
+
+        Args:
+            state: The request.
+            instance_id: Receiver.
+            instance_count: Candidates of the service, for the ejection cap.
+
+        Returns:
+            The outcome of this attempt. A link failure of a request that may
+            not be repeated has been resolved by a fence where that is safe.
+        """
+        started_s = self._clock()
+        remaining_s = state.deadline_s - started_s
+        remaining_ms = int(remaining_s * 1000)
+        if remaining_ms <= 0:
+            return NotRun(NotRunReason.DEADLINE)
+        if state.first_sent_s is None:
+            state.first_sent_s = started_s
+        request = with_remaining_ms(state.template, remaining_ms)
+        self.counters.attempts += 1
+        self._load.begin(instance_id)
+        try:
+            reply = await self._peers.call(
+                instance_id, request, remaining_s + VERDICT_GRACE_S
+            )
+            self._learn(state, instance_id, instance_count, reply, started_s)
+            if not isinstance(reply, LinkFailure):
+                state.has_reached = True
+                return judge(reply)
+            return await self._resolve(state, instance_id, reply)
+        finally:
+            self._load.end(instance_id)
+
+    async def _resolve(
+        self, state: CallState, instance_id: str, failure: LinkFailure
+    ) -> AttemptResult:
+        if not failure.was_sent:
+            return NotRun(NotRunReason.UNREACHABLE)
+        state.has_reached = True
+        # Without an incarnation the fence might reach a restarted receiver,
+        # which would report the request as never run.
+        if state.template.repeatable or failure.incarnation == 0:
+            return OutcomeUnknown(UnknownReason.NO_REPLY)
+        return await self._fence(state, instance_id, failure.incarnation)
+
+    async def _fence(
+        self, state: CallState, instance_id: str, incarnation: int
+    ) -> AttemptResult:
+        end_s = max(state.deadline_s, self._clock()) + SETTLE_GRACE_S
+        while True:
+            now_s = self._clock()
+            if self._age_s(state, now_s) > MAX_FENCE_AGE_S:
+                return OutcomeUnknown(UnknownReason.ANSWER_FORGOTTEN)
+            if now_s >= end_s:
+                return OutcomeUnknown(UnknownReason.NO_REPLY)
+            self.counters.fences += 1
+            reply = await self._peers.fence(
+                instance_id,
+                state.template.request_id,
+                incarnation,
+                end_s - now_s,
+            )
+            if isinstance(reply, messages.CallFenceReply):
+                return self._judge_fence(state, reply)
+            if not isinstance(reply, LinkFailure):
+                return judge(reply)
+            await asyncio.sleep(FENCE_BACK_OFF_S)
+
+    def _judge_fence(
+        self, state: CallState, reply: messages.CallFenceReply
+    ) -> AttemptResult:
+        if reply.state == messages.FenceState.OTHER_INCARNATION:
+            return OutcomeUnknown(UnknownReason.RECEIVER_RESTARTED)
+        if reply.state != messages.FenceState.NEVER_RAN:
+            return OutcomeUnknown(UnknownReason.ANSWER_FORGOTTEN)
+        if self._age_s(state, self._clock()) > MAX_NEVER_RAN_AGE_S:
+            return OutcomeUnknown(UnknownReason.ANSWER_FORGOTTEN)
+        if state.template.is_keyed:
+            # The tombstone holds for the key: a repeat needs a new one.
+            return NotRun(NotRunReason.REFUSED_FOR_EVER)
+        return NotRun(NotRunReason.UNREACHABLE)
+
+    @staticmethod
+    def _age_s(state: CallState, now_s: float) -> float:
+        if state.first_sent_s is None:
+            return 0.0
+        return now_s - state.first_sent_s
+
+    def _learn(
+        self,
+        state: CallState,
+        instance_id: str,
+        instance_count: int,
+        reply: messages.CallReply | LinkFailure,
+        started_s: float,
+    ) -> None:
+        now_s = self._clock()
+        if isinstance(reply, messages.CallAnswer):
+            self._load.hint(instance_id, reply.active, reply.limit, now_s)
+        elif isinstance(reply, messages.CallRefused):
+            self._load.hint(instance_id, reply.active, reply.limit, now_s)
+            if reply.reason != MOVED:
+                self._load.refused(instance_id, reply.retry_after_ms, now_s)
+        elif isinstance(reply, LinkFailure):
+            self.counters.link_failures += 1
+        verdict = _is_failure(reply, now_s - started_s)
+        if verdict is None:
+            return
+        if verdict:
+            self._ejection.failed(
+                state.template.service_name, instance_id, instance_count, now_s
+            )
+        else:
+            self._ejection.succeeded(instance_id, now_s)
+
+
+def with_remaining_ms(
+    template: messages.CallRequest, remaining_ms: int
+) -> messages.CallRequest:
+    """Returns the message with the remaining time set.
+
+    Spelled out because `dataclasses.replace` takes several times as long.
+    """
+    return messages.CallRequest(
+        template.stream_id,
+        template.request_id,
+        template.service_name,
+        template.method,
+        template.path,
+        template.header_names,
+        template.header_values,
+        template.body,
+        template.repeatable,
+        template.priority,
+        template.traceparent,
+        remaining_ms,
+        template.is_keyed,
+        template.is_first_attempt,
+    )
+
+
+def judge(reply: messages.CallReply) -> AttemptResult:
+    """Translates a receiver's reply into the outcome of the attempt."""
+    if isinstance(reply, messages.CallAnswer):
+        headers = tuple(
+            zip(reply.header_names, reply.header_values, strict=False)
+        )
+        return Answered(reply.status, headers, reply.body)
+    if isinstance(reply, messages.CallUnknown):
+        return OutcomeUnknown(_unknown_reason(reply.reason))
+    if reply.reason == MOVED:
+        return Moved(reply.moved_to)
+    return NotRun(_not_run_reason(reply.reason), max(reply.retry_after_ms, 0))
+
+
+def _not_run_reason(text: str) -> NotRunReason:
+    # A newer release may send reasons that this one does not know.
+    try:
+        return NotRunReason(text)
+    except ValueError:
+        return NotRunReason.UPSTREAM_REFUSED
+
+
+def _unknown_reason(text: str) -> UnknownReason:
+    try:
+        return UnknownReason(text)
+    except ValueError:
+        return UnknownReason.NO_REPLY
+
+
+def _is_failure(
+    reply: messages.CallReply | LinkFailure, waited_s: float
+) -> bool | None:
+    """Tells whether a reply counts for ejection; None if it says nothing."""
+    if isinstance(reply, messages.CallAnswer):
+        return reply.status >= _SERVER_ERROR
+    if isinstance(reply, messages.CallRefused):
+        if reply.reason == NotRunReason.UPSTREAM_REFUSED:
+            return True
+        return None
+    if isinstance(reply, messages.CallUnknown):
+        if reply.reason == UnknownReason.HOME_CHANGED:
+            return None
+        return True
+    if reply.was_sent and waited_s < MIN_TELLING_WAIT_S:
+        return None
+    return True
--- /dev/null
+++ b/magnoliafork/proxy/sender.py
@@ -0,0 +1,595 @@
+"""Sender side: routes a caller's request and returns exactly one outcome."""
+
+import asyncio
+import dataclasses
+import hashlib
+import random
+import time
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from magnoliafork.balance import home
+from magnoliafork.balance.candidates import CandidateIndex, Candidates
+from magnoliafork.balance.chooser import Chooser
+from magnoliafork.balance.ejection import OutlierEjection
+from magnoliafork.balance.load import LoadTable
+from magnoliafork.balance.retry import AttemptState, RetryBudget, may_retry
+from magnoliafork.model.request import (
+    Answered,
+    Headers,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    OutcomeUnknown,
+    UnknownReason,
+)
+from magnoliafork.model.rules import RouteRule, RuleSet, WeightedTarget
+from magnoliafork.model.snapshot import Snapshot
+from magnoliafork.model.view import MembershipView, SnapshotView
+from magnoliafork.proxy.attempt import (
+    AttemptCounters,
+    AttemptResult,
+    Attempts,
+    CallState,
+    Moved,
+)
+from magnoliafork.wire import messages
+from magnoliafork.wire.api import PeerCalls
+
+MAX_REDIRECTS = 2
+# Retries of a request that was certainly not run, on routes that allow none
+# because their requests may not be repeated.
+NOT_RUN_RETRIES = 2
+# Pause before a home that could not be reached is tried again.
+HOME_BACK_OFF_S = 0.05
+REQUEST_ID_BITS = 128
+_REQUEST_ID_DIGITS = REQUEST_ID_BITS // 4
+
+# Reasons that hold at every instance, so that a retry cannot help.
+_FINAL_REASONS = frozenset(
+    {
+        NotRunReason.BAD_REQUEST,
+        NotRunReason.BODY_TOO_LARGE,
+        NotRunReason.DEADLINE,
+        NotRunReason.KEY_REUSED,
+        NotRunReason.NO_ROUTE,
+    }
+)
+
+
+class RouteMatcher(Protocol):
+    """Finds the route of a request."""
+
+    def match(self, method: str, host: str, path: str) -> RouteRule | None:
+        """Returns the most specific route, or None if there is none."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class IngressRequest:
+    """A caller's request as the ingress accepted it.
+
+    Attributes:
+        method: HTTP method.
+        host: Host name in lower case without a port.
+        path: Path with its query string.
+        headers: End-to-end headers.
+        body: Whole body.
+        deadline_ms: Caller's time limit, or None for the route's.
+        idempotency_key: Caller's key, or an empty string.
+        is_first_attempt: Whether the caller never sent this key before.
+        traceparent: W3C trace context, or an empty string.
+    """
+
+    method: str
+    host: str
+    path: str
+    headers: Headers = ()
+    body: bytes = b""
+    deadline_ms: int | None = None
+    idempotency_key: str = ""
+    is_first_attempt: bool = False
+    traceparent: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Handled:
+    """An outcome and the request id under which it is known."""
+
+    request_id: str
+    outcome: Outcome
+
+
+@dataclasses.dataclass(slots=True)
+class SenderCounters:
+    """Counts of a sender since its start.
+
+    Attributes:
+        requests: Callers' requests taken.
+        answered: Requests with an answer.
+        not_run: Requests that were certainly not run.
+        unknown: Requests whose outcome is unknown.
+        cancelled: Requests whose caller left before the outcome.
+        retries: Attempts after the first one, without hedges.
+        hedges: Second copies of slow requests.
+        budget_denied: Retries and hedges that the budget did not allow.
+        redirects: Keyed requests that went on to another home.
+        in_flight: Requests without an outcome yet.
+    """
+
+    requests: int = 0
+    answered: int = 0
+    not_run: int = 0
+    unknown: int = 0
+    cancelled: int = 0
+    retries: int = 0
+    hedges: int = 0
+    budget_denied: int = 0
+    redirects: int = 0
+    in_flight: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Run:
+    """A request that has a route, and what its attempts have shown so far."""
+
+    rule: RouteRule
+    call: CallState
+    retries_made: int = 0
+    tried: set[str] = dataclasses.field(default_factory=set)
+    unknown: OutcomeUnknown | None = None
+
+    @property
+    def service(self) -> str:
+        return self.call.template.service_name
+
+    @property
+    def is_repeatable(self) -> bool:
+        return self.call.template.repeatable
+
+
+class Sender:
+    """Handles callers' requests on one node."""
+
+    def __init__(
+        self,
+        snapshots: SnapshotView,
+        membership: MembershipView,
+        peers: PeerCalls,
+        route_matcher: Callable[[RuleSet], RouteMatcher],
+        *,
+        own_zone: str,
+        own_region: str,
+        is_view_current: Callable[[], bool] = lambda: True,
+        rng: random.Random | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Creates a sender.
+
+        Args:
+            snapshots: Configuration in force.
+            membership: Instances of all services.
+            peers: Connections to the other nodes.
+            route_matcher: Creates the matcher of a rule set.
+            own_zone: Availability zone of this node.
+            own_region: Region of this node.
+            is_view_current: False while the view of the instances is out of
+                date, such as after a pause of the process.
+            rng: Source of random choices; seeded in tests.
+            clock: Time in seconds; the loop's clock.
+        """
+        self._snapshots = snapshots
+        self._membership = membership
+        self._route_matcher = route_matcher
+        self._is_view_current = is_view_current
+        self._rng = rng if rng is not None else random.Random()
+        self._clock = clock
+        self._load = LoadTable()
+        self._ejection = OutlierEjection()
+        self._index = CandidateIndex(membership, own_zone, own_region)
+        self._chooser = Chooser(self._load, self._ejection, self._rng)
+        self._attempts = Attempts(peers, self._load, self._ejection, clock)
+        self._budgets: dict[str, RetryBudget] = {}
+        self._routes: RouteMatcher | None = None
+        self._routes_of: Snapshot | None = None
+        self._is_stopping = False
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._detached: set[asyncio.Task[Outcome]] = set()
+        self.counters = SenderCounters()
+
+    @property
+    def attempt_counters(self) -> AttemptCounters:
+        """Counts of single attempts."""
+        return self._attempts.counters
+
+    @property
+    def ejections(self) -> int:
+        """Number of ejections since the start."""
+        return self._ejection.ejections
+
+    async def handle(self, request: IngressRequest) -> Outcome:
+        """Runs a caller's request and returns its only outcome.
+
+        Cancelling cancels a repeatable request down to the upstream. Any
+        other request runs on, so that a repeat with the same key finds its
+        answer.
+        """
+        return (await self.handle_with_id(request)).outcome
+
+    async def handle_with_id(self, request: IngressRequest) -> Handled:
+        """Does the same as `handle` and tells the request id too."""
+        self.counters.requests += 1
+        prepared = self._prepare(request)
+        if not isinstance(prepared, _Run):
+            self._count(prepared)
+            return Handled(self._new_request_id(), prepared)
+        outcome = await self._run_tracked(prepared)
+        return Handled(prepared.call.template.request_id, outcome)
+
+    def begin_stop(self) -> None:
+        """Refuses new requests as not run from now on."""
+        self._is_stopping = True
+
+    async def drained(self, timeout_s: float) -> int:
+        """Waits until no request is in flight.
+
+        Returns:
+            The number of requests that are still in flight at the time limit.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._idle.wait()
+        except TimeoutError:
+            pass
+        return self.counters.in_flight
+
+    def forget_unknown_instances(self) -> None:
+        """Drops hints and ejections of instances that no longer exist."""
+
+        def is_known(instance_id: str) -> bool:
+            return self._membership.get(instance_id) is not None
+
+        self._load.retain(is_known)
+        self._ejection.retain(is_known)
+
+    def _prepare(self, request: IngressRequest) -> _Run | NotRun:
+        snapshot = self._snapshots.current
+        if self._is_stopping:
+            return NotRun(NotRunReason.LEAVING)
+        if snapshot is None:
+            return NotRun(NotRunReason.NOT_READY)
+        if not self._is_view_current():
+            return NotRun(NotRunReason.STALE_VIEW)
+        path = request.path.partition("?")[0]
+        rule = self._matcher_of(snapshot).match(
+            request.method, request.host, path
+        )
+        if rule is None:
+            return NotRun(NotRunReason.NO_ROUTE)
+        return self._new_run(request, rule)
+
+    def _matcher_of(self, snapshot: Snapshot) -> RouteMatcher:
+        if self._routes is None or snapshot is not self._routes_of:
+            self._routes = self._route_matcher(snapshot.rules)
+            self._routes_of = snapshot
+        return self._routes
+
+    def _new_run(self, request: IngressRequest, rule: RouteRule) -> _Run:
+        is_keyed = bool(request.idempotency_key)
+        service = self._pick_target(rule.targets, request.idempotency_key)
+        if is_keyed:
+            request_id = keyed_request_id(service, request.idempotency_key)
+        else:
+            request_id = self._new_request_id()
+        deadline_ms = rule.deadline_ms
+        if request.deadline_ms is not None:
+            deadline_ms = min(deadline_ms, request.deadline_ms)
+        template = messages.CallRequest(
+            stream_id=0,
+            request_id=request_id,
+            service_name=service,
+            method=request.method,
+            path=request.path,
+            header_names=tuple([name for name, _ in request.headers]),
+            header_values=tuple([value for _, value in request.headers]),
+            body=request.body,
+            # A key asks for one run, whatever the route allows.
+            repeatable=rule.repeatable and not is_keyed,
+            priority=int(rule.priority),
+            traceparent=request.traceparent,
+            remaining_ms=deadline_ms,
+            is_keyed=is_keyed,
+            is_first_attempt=is_keyed and request.is_first_attempt,
+        )
+        deadline_s = self._clock() + deadline_ms / 1000
+        return _Run(rule, CallState(template, deadline_s))
+
+    def _pick_target(
+        self, targets: tuple[WeightedTarget, ...], key: str
+    ) -> str:
+        if len(targets) == 1:
+            return targets[0].service
+        if key:
+            # The same key must meet the same service at every node.
+            return pick_weighted(targets, key_fraction(key))
+        return pick_weighted(targets, self._rng.random())
+
+    def _new_request_id(self) -> str:
+        bits = self._rng.getrandbits(REQUEST_ID_BITS)
+        return f"{bits:0{_REQUEST_ID_DIGITS}x}"
+
+    async def _run_tracked(self, run: _Run) -> Outcome:
+        self.counters.in_flight += 1
+        self._idle.clear()
+        if run.is_repeatable:
+            return await self._run_counted(run)
+        # The shield lets the request run on after its caller has left.
+        task = asyncio.create_task(self._run_counted(run))
+        self._detached.add(task)
+        task.add_done_callback(self._detached.discard)
+        return await asyncio.shield(task)
+
+    async def _run_counted(self, run: _Run) -> Outcome:
+        try:
+            if run.call.template.is_keyed:
+                outcome = await self._run_keyed(run)
+            else:
+                outcome = await self._run_anywhere(run)
+            self._count(outcome)
+            return outcome
+        except asyncio.CancelledError:
+            self.counters.cancelled += 1
+            raise
+        finally:
+            self.counters.in_flight -= 1
+            if self.counters.in_flight == 0:
+                self._idle.set()
+
+    def _count(self, outcome: Outcome) -> None:
+        if isinstance(outcome, Answered):
+            self.counters.answered += 1
+        elif isinstance(outcome, NotRun):
+            self.counters.not_run += 1
+        else:
+            self.counters.unknown += 1
+
+    async def _run_anywhere(self, run: _Run) -> Outcome:
+        """Tries instances until one attempt gives the outcome."""
+        budget = self._budget_of(run.service)
+        budget.add_request()
+        last = NotRun(NotRunReason.NO_INSTANCE)
+        while True:
+            candidates = self._candidates_of(run)
+            instance_id = self._choose(run, candidates)
+            if instance_id is None:
+                return _final(run, last)
+            result = await self._attempt_with_hedge(
+                run, candidates, instance_id
+            )
+            if isinstance(result, Answered):
+                return result
+            if isinstance(result, OutcomeUnknown):
+                run.unknown = run.unknown or result
+            else:
+                last = _as_not_run(result)
+            if not self._allows_retry(run, result, budget):
+                return _final(run, last)
+            run.retries_made += 1
+            self.counters.retries += 1
+
+    def _candidates_of(self, run: _Run) -> Candidates:
+        # The route stays that of the first snapshot; the instances follow the
+        # one in force, so that a retry does not go to a zone taken out since.
+        snapshot = self._snapshots.current
+        if snapshot is None:
+            return Candidates((), ())
+        return self._index.of_service(run.service, snapshot)
+
+    def _choose(self, run: _Run, candidates: Candidates) -> str | None:
+        member = self._chooser.choose(candidates, run.tried, self._clock())
+        if member is None:
+            return None
+        instance_id = member.instance.instance_id
+        run.tried.add(instance_id)
+        return instance_id
+
+    def _budget_of(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryBudget(self._clock())
+        return budget
+
+    def _allows_retry(
+        self, run: _Run, result: AttemptResult, budget: RetryBudget
+    ) -> bool:
+        was_not_run = isinstance(result, NotRun | Moved)
+        if isinstance(result, NotRun) and result.reason in _FINAL_REASONS:
+            return False
+        retries_allowed = run.rule.retries
+        if not run.is_repeatable:
+            retries_allowed = max(retries_allowed, NOT_RUN_RETRIES)
+        now_s = self._clock()
+        attempt = AttemptState(
+            was_not_run=was_not_run,
+            is_repeatable=run.is_repeatable,
+            retries_made=run.retries_made,
+            retries_allowed=retries_allowed,
+            remaining_s=run.call.deadline_s - now_s,
+        )
+        if not may_retry(attempt):
+            return False
+        return self._take(budget, now_s)
+
+    def _take(self, budget: RetryBudget, now_s: float) -> bool:
+        if budget.take(now_s):
+            return True
+        self.counters.budget_denied += 1
+        return False
+
+    async def _attempt_with_hedge(
+        self, run: _Run, candidates: Candidates, instance_id: str
+    ) -> AttemptResult:
+        count = len(candidates.instance_ids)
+        attempt = self._attempts.run(run.call, instance_id, count)
+        if run.rule.hedge_ms <= 0 or not run.is_repeatable:
+            return await attempt
+        first = asyncio.create_task(attempt)
+        tasks = [first]
+        try:
+            done, _ = await asyncio.wait(
+                tasks, timeout=run.rule.hedge_ms / 1000
+            )
+            if not done:
+                second = self._start_hedge(run)
+                if second is not None:
+                    tasks.append(second)
+            return await _first_answer(run, tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    def _start_hedge(self, run: _Run) -> asyncio.Task[AttemptResult] | None:
+        candidates = self._candidates_of(run)
+        now_s = self._clock()
+        member = self._chooser.choose(candidates, run.tried, now_s)
+        if member is None:
+            return None
+        if not self._take(self._budget_of(run.service), now_s):
+            return None
+        run.tried.add(member.instance.instance_id)
+        self.counters.hedges += 1
+        return asyncio.create_task(
+            self._attempts.run(
+                run.call,
+                member.instance.instance_id,
+                len(candidates.instance_ids),
+            )
+        )
+
+    async def _run_keyed(self, run: _Run) -> Outcome:
+        """Sends a keyed request to the home of its key.
+
+        It never goes to another instance on the sender's own decision: a copy
+        that may have reached the home binds the key to it.
+        """
+        budget = self._budget_of(run.service)
+        budget.add_request()
+        while True:
+            candidates = self._candidates_of(run)
+            if not candidates.instance_ids:
+                return _not_reached(run, NotRunReason.NO_INSTANCE)
+            request_id = run.call.template.request_id
+            home_id = home.rank(request_id, candidates.instance_ids)[0]
+            outcome = await self._follow(
+                run, home_id, len(candidates.instance_ids)
+            )
+            if run.call.has_reached or not isinstance(outcome, NotRun):
+                return outcome
+            if not self._allows_retry(run, outcome, budget):
+                return _not_reached(run, outcome.reason)
+            run.retries_made += 1
+            self.counters.retries += 1
+            await asyncio.sleep(HOME_BACK_OFF_S)
+
+    async def _follow(
+        self, run: _Run, home_id: str, instance_count: int
+    ) -> Outcome:
+        """Calls the home and follows its redirects."""
+        instance_id = home_id
+        for _ in range(MAX_REDIRECTS + 1):
+            reached_before = run.call.has_reached
+            result = await self._attempts.run(
+                run.call, instance_id, instance_count
+            )
+            if not isinstance(result, Moved):
+                if reached_before and _is_unreached(result):
+                    # The new home may have run an earlier copy.
+                    return OutcomeUnknown(UnknownReason.HOME_CHANGED)
+                return result
+            self.counters.redirects += 1
+            instance_id = result.instance_id
+        return OutcomeUnknown(UnknownReason.HOME_CHANGED)
+
+
+def _is_unreached(result: Outcome) -> bool:
+    return isinstance(result, NotRun) and result.reason in (
+        NotRunReason.UNREACHABLE,
+        NotRunReason.DEADLINE,
+    )
+
+
+def _not_reached(run: _Run, reason: NotRunReason) -> Outcome:
+    """Returns the outcome of a keyed request that reached no instance.
+
+    Only the ledgers know whether an earlier copy ran, so that "not run" is
+    certain only for a first attempt.
+    """
+    if run.call.template.is_first_attempt:
+        return NotRun(reason)
+    return OutcomeUnknown(UnknownReason.NO_REPLY)
+
+
+def _final(run: _Run, last: NotRun) -> Outcome:
+    """Returns the outcome of a request without an answer."""
+    if run.unknown is not None:
+        return run.unknown
+    return last
+
+
+def _as_not_run(result: NotRun | Moved) -> NotRun:
+    if isinstance(result, Moved):
+        return NotRun(NotRunReason.MOVED)
+    return result
+
+
+async def _first_answer(
+    run: _Run, tasks: list[asyncio.Task[AttemptResult]]
+) -> AttemptResult:
+    """Returns the first answer of several attempts, else the worst failure."""
+    worst: AttemptResult | None = None
+    for next_done in asyncio.as_completed(tasks):
+        result = await next_done
+        if isinstance(result, Answered):
+            return result
+        if isinstance(result, OutcomeUnknown):
+            run.unknown = run.unknown or result
+        if worst is None or isinstance(result, OutcomeUnknown):
+            worst = result
+    if worst is None:
+        raise AssertionError("no attempt was started")
+    return worst
+
+
+def keyed_request_id(service: str, key: str) -> str:
+    """Derives the 128-bit request id of a caller's key.
+
+    >>> keyed_request_id("a", "k") == keyed_request_id("b", "k")
+    False
+    >>> len(keyed_request_id("a", "k"))
+    32
+    """
+    digest = hashlib.sha256(f"{service}\0{key}".encode())
+    return digest.hexdigest()[:_REQUEST_ID_DIGITS]
+
+
+def key_fraction(key: str) -> float:
+    """Maps a key evenly to a number from 0 up to but not including 1."""
+    digest = hashlib.sha256(key.encode()).digest()
+    return int.from_bytes(digest[:6], "big") / 2**48
+
+
+def pick_weighted(targets: Iterable[WeightedTarget], fraction: float) -> str:
+    """Picks a service by its share of the weights.
+
+    >>> targets = (WeightedTarget("a", 90), WeightedTarget("b", 10))
+    >>> pick_weighted(targets, 0.89), pick_weighted(targets, 0.91)
+    ('a', 'b')
+    """
+    ordered = tuple(targets)
+    point = fraction * sum(target.weight for target in ordered)
+    for target in ordered:
+        point -= target.weight
+        if point < 0:
+            return target.service
+    return ordered[-1].service
