--- a/magnoliafork/proxy/ingress.py
+++ b/magnoliafork/proxy/ingress.py
@@ -578,7 +578,9 @@
         return cut
 
     async def _close_connections(self, server: web.Server) -> None:
-        server.pre_shutdown()
+        for connection in server.connections:
+            # Closing a transport still sends what its buffer holds.
+            connection.force_close()
         loop = asyncio.get_running_loop()
         end_s = loop.time() + _FLUSH_S
         while server.connections and loop.time() < end_s:
--- a/magnoliafork/proxy/sender.py
+++ b/magnoliafork/proxy/sender.py
@@ -356,14 +356,17 @@
 
     async def _run_anywhere(self, run: _Run) -> Outcome:
         """Tries instances until one attempt gives the outcome."""
-        budget = self._budget_of(run.service)
-        budget.add_request()
+        self._budget_of(run.service).add_request()
         last = NotRun(NotRunReason.NO_INSTANCE)
         while True:
             candidates = self._candidates_of(run)
             instance_id = self._choose(run, candidates)
             if instance_id is None:
                 return _final(run, last)
+            if run.retries_made > 0:
+                if not self._take_token(run):
+                    return _final(run, last)
+                self.counters.retries += 1
             result = await self._attempt_with_hedge(
                 run, candidates, instance_id
             )
@@ -373,10 +376,9 @@
                 run.unknown = run.unknown or result
             else:
                 last = _as_not_run(result)
-            if not self._allows_retry(run, result, budget):
+            if not self._allows_retry(run, result):
                 return _final(run, last)
             run.retries_made += 1
-            self.counters.retries += 1
 
     def _candidates_of(self, run: _Run) -> Candidates:
         # The route stays that of the first snapshot; the instances follow the
@@ -400,29 +402,24 @@
             budget = self._budgets[service] = RetryBudget(self._clock())
         return budget
 
-    def _allows_retry(
-        self, run: _Run, result: AttemptResult, budget: RetryBudget
-    ) -> bool:
-        was_not_run = isinstance(result, NotRun | Moved)
+    def _allows_retry(self, run: _Run, result: AttemptResult) -> bool:
         if isinstance(result, NotRun) and result.reason in _FINAL_REASONS:
             return False
         retries_allowed = run.rule.retries
         if not run.is_repeatable:
             retries_allowed = max(retries_allowed, NOT_RUN_RETRIES)
-        now_s = self._clock()
-        attempt = AttemptState(
-            was_not_run=was_not_run,
-            is_repeatable=run.is_repeatable,
-            retries_made=run.retries_made,
-            retries_allowed=retries_allowed,
-            remaining_s=run.call.deadline_s - now_s,
+        return may_retry(
+            AttemptState(
+                was_not_run=isinstance(result, NotRun | Moved),
+                is_repeatable=run.is_repeatable,
+                retries_made=run.retries_made,
+                retries_allowed=retries_allowed,
+                remaining_s=run.call.deadline_s - self._clock(),
+            )
         )
-        if not may_retry(attempt):
-            return False
-        return self._take(budget, now_s)
 
-    def _take(self, budget: RetryBudget, now_s: float) -> bool:
-        if budget.take(now_s):
+    def _take_token(self, run: _Run) -> bool:
+        if self._budget_of(run.service).take(self._clock()):
             return True
         self.counters.budget_denied += 1
         return False
@@ -451,19 +448,15 @@
 
     def _start_hedge(self, run: _Run) -> asyncio.Task[AttemptResult] | None:
         candidates = self._candidates_of(run)
-        now_s = self._clock()
-        member = self._chooser.choose(candidates, run.tried, now_s)
-        if member is None:
+        instance_id = self._choose(run, candidates)
+        if instance_id is None:
             return None
-        if not self._take(self._budget_of(run.service), now_s):
+        if not self._take_token(run):
             return None
-        run.tried.add(member.instance.instance_id)
         self.counters.hedges += 1
         return asyncio.create_task(
             self._attempts.run(
-                run.call,
-                member.instance.instance_id,
-                len(candidates.instance_ids),
+                run.call, instance_id, len(candidates.instance_ids)
             )
         )
 
@@ -473,8 +466,7 @@
         It never goes to another instance on the sender's own decision: a copy
         that may have reached the home binds the key to it.
         """
-        budget = self._budget_of(run.service)
-        budget.add_request()
+        self._budget_of(run.service).add_request()
         while True:
             candidates = self._candidates_of(run)
             if not candidates.instance_ids:
@@ -486,7 +478,9 @@
             )
             if run.call.has_reached or not isinstance(outcome, NotRun):
                 return outcome
-            if not self._allows_retry(run, outcome, budget):
+            if not self._allows_retry(run, outcome):
+                return _not_reached(run, outcome.reason)
+            if not self._take_token(run):
                 return _not_reached(run, outcome.reason)
             run.retries_made += 1
             self.counters.retries += 1
--- /dev/null
+++ b/magnoliafork/tests/proxy/test_sender_histories.py
@@ -0,0 +1,154 @@
+"""Random histories with faults; planted faults show that the checks work."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from magnoliafork.balance import retry
+from magnoliafork.model.request import NotRun, NotRunReason, Outcome
+from magnoliafork.proxy import attempt, sender
+from magnoliafork.tests import virtual_time
+from magnoliafork.tests.proxy.test_sender_fleet import (
+    Fleet,
+    ask,
+    route,
+    snapshot,
+    violations,
+)
+
+REQUESTS = 400
+KINDS = (
+    "unsent",
+    "silent",
+    "late_copy",
+    "reply_lost",
+    "dies_before",
+    "dies_after",
+    "overloaded",
+    "unknown",
+)
+RUNS_MORE_THAN_ONCE = "ran more than once"
+NOT_RUN_BUT_RAN = "not run, but it ran"
+CROSSED = "answer of another request"
+
+
+async def _history(seed: int, crosses_answers: bool = False) -> set[str]:
+    fleet = Fleet()
+    fleet.crosses_answers = crosses_answers
+    fleet.current = snapshot(
+        route("/r/*", repeatable=True, hedge_ms=30), route("/n/*")
+    )
+    rng = random.Random(seed)
+    fleet.random_fault = (rng, 0.3, KINDS)
+    senders = [fleet.sender(seed + i, f"z{i}") for i in range(3)]
+    outcomes: dict[str, Outcome] = {}
+
+    async def one(number: int) -> None:
+        path = f"/{rng.choice('rn')}/{number}"
+        key = f"key-{number}" if rng.random() < 0.2 else ""
+        await asyncio.sleep(rng.random() * 60)
+        outcomes[path] = await rng.choice(senders).handle(
+            ask(path, key, first=rng.random() < 0.5)
+        )
+
+    await asyncio.gather(*[one(number) for number in range(REQUESTS)])
+    await fleet.settle()
+    assert len(outcomes) == REQUESTS
+    assert sum(s.counters.in_flight for s in senders) == 0
+    return violations(fleet, outcomes, "/r/")
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_random_faults_break_no_promise(seed: int) -> None:
+    """Guards against wrong outcomes under any mix of faults (I6, I7, I8)."""
+    assert virtual_time.run(_history(seed)) == set()
+
+
+async def _resolve_without_fence(self: Any, state: Any, *_: Any) -> Outcome:
+    return NotRun(NotRunReason.UNREACHABLE)
+
+
+def _judge_fence_lightly(self: Any, state: Any, reply: Any) -> Outcome:
+    return NotRun(NotRunReason.UNREACHABLE)
+
+
+@pytest.mark.parametrize(
+    ("owner", "name", "planted", "rule"),
+    [
+        (
+            attempt.Attempts,
+            "_resolve",
+            _resolve_without_fence,
+            NOT_RUN_BUT_RAN,
+        ),
+        (
+            attempt.Attempts,
+            "_judge_fence",
+            _judge_fence_lightly,
+            NOT_RUN_BUT_RAN,
+        ),
+        (sender, "_final", lambda run, last: last, NOT_RUN_BUT_RAN),
+        (sender, "may_retry", lambda state: True, RUNS_MORE_THAN_ONCE),
+    ],
+)
+def test_the_checker_catches_planted_faults(
+    monkeypatch: pytest.MonkeyPatch,
+    owner: object,
+    name: str,
+    planted: Callable[..., object],
+    rule: str,
+) -> None:
+    """Guards against a checker that passes whatever happens."""
+    monkeypatch.setattr(owner, name, planted)
+    assert rule in virtual_time.run(_history(0))
+
+
+def test_the_checker_catches_crossed_answers() -> None:
+    """Guards against a checker that does not compare answers."""
+    assert CROSSED in virtual_time.run(_history(0, crosses_answers=True))
+
+
+async def _budget_use(failing: int, service_s: float) -> float:
+    """Returns the attempts as a share of what the budget allows."""
+    count = 3000
+    fleet = Fleet(6, service_s)
+    fleet.current = snapshot(route(repeatable=True, hedge_ms=30))
+    for node in list(fleet.nodes.values())[:failing]:
+        node.faults = ["unknown", "overloaded"] * count
+    node_sender = fleet.sender()
+
+    async def one(number: int) -> None:
+        await asyncio.sleep(number * 0.001)
+        await node_sender.handle(ask(f"/{number}"))
+
+    start_s = asyncio.get_running_loop().time()
+    await asyncio.gather(*[one(number) for number in range(count)])
+    elapsed_s = asyncio.get_running_loop().time() - start_s
+    allowed = 1.1 * count + retry.BUDGET_PER_S * elapsed_s + retry.BUDGET_CAP
+    return len(fleet.calls) / allowed
+
+
+STORMS = [(3, 0.01), (3, 0.05), (6, 0.01)]
+
+
+@pytest.mark.parametrize(("failing", "service_s"), STORMS)
+def test_attempts_stay_within_the_budget(
+    failing: int, service_s: float
+) -> None:
+    """Guards against retry storms while half or all instances fail."""
+    assert virtual_time.run(_budget_use(failing, service_s)) <= 1.0
+
+
+@pytest.mark.parametrize(("failing", "service_s"), STORMS[1:])
+def test_the_budget_check_catches_a_missing_budget(
+    monkeypatch: pytest.MonkeyPatch, failing: int, service_s: float
+) -> None:
+    """Guards against a budget test that no retry storm can fail.
+
+    The first storm is left out: cool-down and ejection alone contain it.
+    """
+    monkeypatch.setattr(retry.RetryBudget, "take", lambda self, now_s: True)
+    assert virtual_time.run(_budget_use(failing, service_s)) > 1.0
