--- /dev/null
+++ b/magnoliafork/observe/collect.py
@@ -0,0 +1,68 @@
+"""Copies the counters of a node's parts into its metrics."""
+
+from collections.abc import Mapping
+
+from magnoliafork.cluster.control import ClusterControl
+from magnoliafork.observe.metrics import CounterName, Metrics
+from magnoliafork.proxy.receiver import Receiver
+from magnoliafork.proxy.sender import Sender
+from magnoliafork.snapshot.store import SnapshotStore
+from magnoliafork.source.reader import SourceReader
+from magnoliafork.wire.link import LinkTraffic
+
+
+def collect(
+    metrics: Metrics,
+    *,
+    sender: Sender,
+    receiver: Receiver,
+    control: ClusterControl,
+    store: SnapshotStore,
+    reader: SourceReader,
+    traffic: LinkTraffic,
+) -> None:
+    """Sets every counter to the total since the start."""
+    served = receiver.counters
+    totals = {
+        CounterName.REQUESTS_ANSWERED: sender.counters.answered,
+        CounterName.RETRIES: sender.counters.retries,
+        CounterName.HEDGES: sender.counters.hedges,
+        CounterName.EJECTIONS: sender.ejections,
+        CounterName.CALLS_RECEIVED: served.answered + served.unknown,
+        CounterName.CALLS_CUT: served.cut_by_stop,
+        CounterName.FENCES: served.fences,
+        CounterName.KEYS_MOVED: served.yielded,
+        CounterName.RAMPS: served.ramp_falls,
+        CounterName.SOURCE_READS: reader.counters.reads,
+        CounterName.SOURCE_FAILURES: reader.counters.unavailable,
+        CounterName.VERSIONS_APPLIED: store.counts.applied,
+        CounterName.VERSIONS_REJECTED: store.counts.rejected,
+        CounterName.VERSION_CONFLICTS: store.counts.conflicts,
+        CounterName.CONTROL_BYTES_SENT: traffic.control_sent_bytes,
+        CounterName.CONTROL_BYTES_RECEIVED: traffic.control_received_bytes,
+        CounterName.CLOCK_JUMPS: control.detector.clock_jumps,
+    }
+    for name, total in totals.items():
+        _set(metrics, name, {"": total})
+    _set(metrics, CounterName.CALLS_REFUSED, served.refused)
+    _set(
+        metrics,
+        CounterName.REQUESTS_NOT_RUN,
+        {"all": sender.counters.not_run},
+    )
+    _set(
+        metrics,
+        CounterName.REQUESTS_UNKNOWN,
+        {"all": sender.counters.unknown},
+    )
+    _set(
+        metrics,
+        CounterName.VERSIONS_IGNORED,
+        {"lower": store.counts.ignored_lower},
+    )
+
+
+def _set(
+    metrics: Metrics, name: CounterName, values: Mapping[str, int]
+) -> None:
+    metrics.counters[name] = dict(values)
--- a/magnoliafork/proxy/ingress.py
+++ b/magnoliafork/proxy/ingress.py
@@ -10,7 +10,7 @@
 import re
 import secrets
 from collections.abc import Iterator
-from typing import Any
+from typing import Any, Protocol
 
 from aiohttp import hdrs, web
 from multidict import CIMultiDict
@@ -24,7 +24,7 @@
     OutcomeUnknown,
     UnknownReason,
 )
-from magnoliafork.proxy.sender import Handled, IngressRequest, Sender
+from magnoliafork.proxy.sender import Handled, IngressRequest
 
 DEADLINE_HEADER = "Magnolia-Deadline-Ms"
 ATTEMPT_HEADER = "Magnolia-Attempt"
@@ -147,10 +147,18 @@
     reason: NotRunReason
 
 
+class RequestHandler(Protocol):
+    """Handles the requests that the ingress has accepted."""
+
+    async def handle_with_id(self, request: IngressRequest) -> Handled:
+        """Returns the only outcome of a request and its id."""
+        ...
+
+
 class IngressApp:
     """Translates between HTTP and the sender."""
 
-    def __init__(self, sender: Sender, limits: IngressLimits) -> None:
+    def __init__(self, sender: RequestHandler, limits: IngressLimits) -> None:
         """Creates the application around a sender."""
         self.limits = limits
         self.counters = IngressCounters()
@@ -243,7 +251,7 @@
             return _bad_request()
 
 
-def build_app(sender: Sender, limits: IngressLimits) -> IngressApp:
+def build_app(sender: RequestHandler, limits: IngressLimits) -> IngressApp:
     """Creates the ingress application of a node."""
     return IngressApp(sender, limits)
 
--- a/magnoliafork/proxy/receiver.py
+++ b/magnoliafork/proxy/receiver.py
@@ -178,6 +178,11 @@
         """Requests that the upstream may run now, 0 if it takes no work."""
         return 0 if self._refusal() is not None else self._slots.limit
 
+    @property
+    def queued(self) -> int:
+        """Requests that wait for a slot."""
+        return self._slots.queued
+
     def begin_stop(self) -> None:
         """Takes no new work from now on; running requests go on."""
         self._is_leaving = True
--- a/magnoliafork/standins/deployments.py
+++ b/magnoliafork/standins/deployments.py
@@ -92,7 +92,7 @@
         CallPattern("GET", "/commissions/{n}", 4),
         CallPattern("POST", "/commissions", 2, is_keyed=True),
         CallPattern("POST", "/payments", 1),
-        CallPattern("GET", "/loom-schedule", 2),
+        CallPattern("GET", "/loom-schedule?week={n}", 2),
         CallPattern("GET", "/wool/{n}", 2),
         CallPattern("GET", "/dyes/{n}", 1),
     ),
--- a/magnoliafork/wire/control.py
+++ b/magnoliafork/wire/control.py
@@ -29,6 +29,19 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkView:
+    """A peer with an open control connection.
+
+    Attributes:
+        instance_id: Id of the peer.
+        silent_s: Time since the last bytes from the peer.
+    """
+
+    instance_id: str
+    silent_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class _Target:
     """A peer to which a connection is kept open."""
@@ -70,6 +83,14 @@
         """Returns the ids of the peers with an open control connection."""
         return tuple(self._links)
 
+    def views(self) -> tuple[LinkView, ...]:
+        """Returns the open connections for operators."""
+        now_s = asyncio.get_running_loop().time()
+        return tuple(
+            LinkView(peer_id, now_s - links[-1].last_received_s)
+            for peer_id, links in self._links.items()
+        )
+
     def send(self, instance_id: str, message: messages.ControlMessage) -> bool:
         """Queues a message; false when the peer is gone or its buffer full."""
         links = self._links.get(instance_id)
--- a/magnoliafork/wire/identity.py
+++ b/magnoliafork/wire/identity.py
@@ -14,13 +14,17 @@
 
     Attributes:
         instance_id: Id of this node's instance.
-        incarnation: Gives the incarnation of this process.
+        process_incarnation: Start of this process. Requests are bound to it,
+            so that it must not change while the process keeps its ledger.
+        member_incarnation: Gives the incarnation in the membership table,
+            which rises when this node refutes a report about itself.
         version: Gives the version in force.
         load: Gives the number of active calls and the current limit.
     """
 
     instance_id: str
-    incarnation: Callable[[], int]
+    process_incarnation: int
+    member_incarnation: Callable[[], int]
     version: Callable[[], Version]
     load: Callable[[], tuple[int, int]]
     _generations: "itertools.count[int]" = dataclasses.field(
@@ -30,10 +34,13 @@
     def hello(self, purpose: messages.LinkPurpose) -> messages.Hello:
         """Returns a greeting with a new, higher link generation."""
         version = self.version()
+        incarnation = self.process_incarnation
+        if purpose is messages.LinkPurpose.CONTROL:
+            incarnation = self.member_incarnation()
         return messages.Hello(
             protocol=codec.PROTOCOL_NUMBER,
             instance_id=self.instance_id,
-            incarnation=self.incarnation(),
+            incarnation=incarnation,
             link_generation=next(self._generations),
             version_number=version.number,
             version_digest=version.digest,
