--- a/magnoliafork/rules/format1/check.py
+++ b/magnoliafork/rules/format1/check.py
@@ -13,7 +13,7 @@
     ZoneRule,
 )
 from magnoliafork.rules.format1 import limits
-from magnoliafork.rules.matcher import ANY, PREFIX_SUFFIX, RouteKey, route_key
+from magnoliafork.rules.matcher import ANY, PREFIX_SUFFIX, route_key
 
 _INSTANCE_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,127}")
 _HOST = re.compile(
@@ -132,7 +132,7 @@
             f"{service.connections} connections for {service.slots} slots",
             "at least as many connections as slots",
         )
-    if not 1 <= service.ramp_start <= service.slots:
+    if not 1 <= service.ramp_start <= max(service.slots, 1):
         yield Problem(
             subject,
             "ramp-start",
@@ -222,23 +222,30 @@
 
 
 def _check_repeats(document: RuleDocument) -> Iterator[Problem]:
-    groups: tuple[tuple[Kind, str, Sequence[str | RouteKey]], ...] = (
-        (Kind.ZONE, "name", [zone.name for zone in document.zones]),
-        (Kind.SERVICE, "name", [item.name for item in document.services]),
-        (Kind.ROUTE, "path", [route_key(item) for item in document.routes]),
-        (Kind.DRAIN, "name", [item.instance_id for item in document.drains]),
-    )
-    for kind, field, keys in groups:
-        first_index: dict[str | RouteKey, int] = {}
-        for index, key in enumerate(keys):
-            first = first_index.setdefault(key, index)
-            if first == index:
-                continue
-            what = key if isinstance(key, str) else " ".join(key)
+    zones = [zone.name for zone in document.zones]
+    yield from _check_unique(Kind.ZONE, "name", zones)
+    services = [service.name for service in document.services]
+    yield from _check_unique(Kind.SERVICE, "name", services)
+    routes = [
+        f"{method} {host} {path}"
+        for host, path, method in map(route_key, document.routes)
+    ]
+    yield from _check_unique(Kind.ROUTE, "path", routes)
+    drains = [drain.instance_id for drain in document.drains]
+    yield from _check_unique(Kind.DRAIN, "name", drains)
+
+
+def _check_unique(
+    kind: Kind, field: str, keys: Sequence[str]
+) -> Iterator[Problem]:
+    first_index: dict[str, int] = {}
+    for index, key in enumerate(keys):
+        first = first_index.setdefault(key, index)
+        if first != index:
             yield Problem(
                 Subject(kind, index),
                 field,
-                f"{kind} {what!r} is already defined",
+                f"{kind} {key!r} is already defined",
                 "each one once",
                 first=Subject(kind, first),
             )
--- a/magnoliafork/rules/line_parser.py
+++ b/magnoliafork/rules/line_parser.py
@@ -90,10 +90,17 @@
             if key in self.positions:
                 self._fail(word, f"{key} is repeated", "each setting once")
                 continue
-            self.positions[key] = word
+            column = word.column + len(key) + len(equals)
+            position = dataclasses.replace(word, column=column)
+            self.positions[key] = position
             value = reader.read(text)
             if value is None:
-                self._fail_value(word, key, text, reader)
+                self._fail(
+                    position,
+                    f"bad value {text!r} for {key}",
+                    reader.allowed,
+                    closest_name(text, reader.choices),
+                )
             else:
                 values[key] = value
         self._words.clear()
@@ -108,7 +115,7 @@
         comment = self._line.comment
         if comment is None or not comment.text:
             self.fail_end("the comment is missing", _COMMENT_RULE)
-            return Origin(self._line.number, "")
+            return Origin(self._line.number, "unknown")
         self.positions["comment"] = comment
         return Origin(self._line.number, comment.text)
 
@@ -136,17 +143,6 @@
             closest_name(name, choices),
         )
 
-    def _fail_value(
-        self, word: Token, key: str, text: str, reader: ValueReader
-    ) -> None:
-        value = dataclasses.replace(word, column=word.column + len(key) + 1)
-        self._fail(
-            value,
-            f"bad value {text!r} for {key}",
-            reader.allowed,
-            closest_name(text, reader.choices),
-        )
-
     def _target(self, word: Token) -> WeightedTarget:
         service, colon, weight_text = word.text.partition(":")
         self.positions.setdefault("targets", word)
--- a/magnoliafork/rules/parser.py
+++ b/magnoliafork/rules/parser.py
@@ -17,6 +17,7 @@
     ZoneRule,
 )
 from magnoliafork.rules.errors import RuleError
+from magnoliafork.rules.format1 import limits
 from magnoliafork.rules.lexer import Line, Token, lex
 from magnoliafork.rules.line_parser import SYNTAX, LineParser
 from magnoliafork.rules.values import ROUTE_SETTINGS, SERVICE_SETTINGS
@@ -52,8 +53,9 @@
     """Everything learned from a file, even if it has errors.
 
     Attributes:
-        file: The rules of all lines without an error.
-        errors: Errors of the other lines.
+        file: The rules of all lines that could be read; values with an
+            error have a stand-in.
+        errors: Syntax errors.
         unread_names: Names that the other lines may define.
     """
 
@@ -97,7 +99,7 @@
         self._positions: dict[Subject, Positions] = {}
         self._errors: list[RuleError] = []
         self._unread_names: set[str] = set()
-        self._parsers: dict[str, Callable[[LineParser], None]] = {
+        self._parsers: dict[str, Callable[[LineParser], bool]] = {
             "zone": self._read_zone,
             "service": self._read_service,
             "route": self._read_route,
@@ -109,12 +111,12 @@
         read_rule = self._parsers.get(line.words[0].text)
         if read_rule is None:
             parser.fail_choice("rule", line.words[0], tuple(SYNTAX))
+            is_read = False
         else:
-            read_rule(parser)
-        if parser.errors:
-            self._errors.extend(parser.errors)
-            if len(line.words) > 1:
-                self._unread_names.add(line.words[1].text)
+            is_read = read_rule(parser)
+        self._errors.extend(parser.errors)
+        if not is_read and len(line.words) > 1:
+            self._unread_names.add(line.words[1].text)
 
     def finish(self) -> Reading:
         priorities = {item.name: item.priority for item in self._services}
@@ -130,41 +132,47 @@
             frozenset(self._unread_names),
         )
 
-    def _read_zone(self, parser: LineParser) -> None:
+    def _read_zone(self, parser: LineParser) -> bool:
         name = parser.take("name", "a zone name")
         state = parser.take_optional("state")
         if state is not None and state.text != "out":
             parser.fail_choice("zone state", state, ("out",))
         parser.expect_end()
         origin = parser.origin()
-        if name is None or parser.errors:
-            return
+        if name is None:
+            return False
         self._add_position(Kind.ZONE, len(self._zones), parser)
         self._zones.append(ZoneRule(name.text, state is not None, origin))
+        return True
 
-    def _read_drain(self, parser: LineParser) -> None:
+    def _read_drain(self, parser: LineParser) -> bool:
         name = parser.take("name", "an instance id")
         parser.expect_end()
         origin = parser.origin()
-        if name is None or parser.errors:
-            return
+        if name is None:
+            return False
         self._add_position(Kind.DRAIN, len(self._drains), parser)
         self._drains.append(DrainRule(name.text, origin))
+        return True
 
-    def _read_service(self, parser: LineParser) -> None:
+    def _read_service(self, parser: LineParser) -> bool:
         name = parser.take("name", "a service name")
         settings = parser.settings(SERVICE_SETTINGS)
         for key in ("slots", "connections"):
-            if key not in settings and not parser.has_setting(key):
+            if not parser.has_setting(key):
                 parser.fail_end(f"{key} is missing", f"{key}=NUMBER")
         origin = parser.origin()
-        if name is None or parser.errors:
-            return
-        slots = settings["slots"]
+        if name is None:
+            return False
+        # Stand-ins for values that were reported already, chosen so that
+        # the checks of the other values find nothing wrong because of them.
+        connections = settings.get("connections", limits.MAX_CONNECTIONS)
+        any_slots = max(1, min(connections, limits.MAX_SLOTS))
+        slots = settings.get("slots", any_slots)
         rule = ServiceRule(
             name=name.text,
             slots=slots,
-            connections=settings["connections"],
+            connections=connections,
             queue=settings.get("queue", slots),
             priority=Priority(settings.get("priority", DEFAULT_PRIORITY)),
             ramp_s=settings.get("ramp", DEFAULT_RAMP_MS) / 1000,
@@ -173,26 +181,31 @@
         )
         self._add_position(Kind.SERVICE, len(self._services), parser)
         self._services.append(rule)
+        return True
 
-    def _read_route(self, parser: LineParser) -> None:
+    def _read_route(self, parser: LineParser) -> bool:
         method = parser.take("method", "a method")
         host = parser.take("host", "a host")
         path = parser.take("path", "a path")
         targets = parser.targets()
         settings = parser.settings(ROUTE_SETTINGS)
         origin = parser.origin()
-        if method is None or host is None or path is None or parser.errors:
-            return
-        repeatable = settings.get(
-            "repeatable", method.text in REPEATABLE_METHODS
+        if method is None or host is None or path is None or not targets:
+            return False
+        # As for services, a bad value must not make `hedge` look wrong.
+        repeatable = method.text in REPEATABLE_METHODS or parser.has_setting(
+            "repeatable"
         )
+        deadline_ms = DEFAULT_DEADLINE_MS
+        if parser.has_setting("deadline"):
+            deadline_ms = limits.MAX_DEADLINE_MS
         rule = RouteRule(
             method=method.text,
             host=host.text,
             path=path.text,
             targets=targets,
-            repeatable=bool(repeatable),
-            deadline_ms=settings.get("deadline", DEFAULT_DEADLINE_MS),
+            repeatable=bool(settings.get("repeatable", repeatable)),
+            deadline_ms=settings.get("deadline", deadline_ms),
             retries=settings.get("retries", DEFAULT_RETRIES),
             hedge_ms=settings.get("hedge", DEFAULT_HEDGE_MS),
             priority=Priority(settings.get("priority", DEFAULT_PRIORITY)),
@@ -200,6 +213,7 @@
         )
         self._add_position(Kind.ROUTE, len(self._routes), parser)
         self._routes.append(_RouteDraft(rule, "priority" in settings))
+        return True
 
     def _add_position(self, kind: Kind, index: int, parser: LineParser) -> None:
         self._positions[Subject(kind, index)] = parser.positions
