--- /dev/null
+++ b/magnoliafork/cli.py
@@ -0,0 +1,253 @@
+"""The magnolia command.
+
+Exit codes: 0 success, 1 a problem was found, 2 wrong usage, 3 no node
+answers, 4 the node refuses the change.
+"""
+
+import asyncio
+import os
+import pathlib
+import sys
+from collections.abc import Awaitable, Callable
+from typing import Annotated, NoReturn, TextIO
+
+import typer
+
+from magnoliafork.commands import lazy, node, node_settings
+from magnoliafork.commands.admin_client import AdminTarget
+from magnoliafork.commands.exit_codes import ExitCode
+from magnoliafork.model.result import Err
+from magnoliafork.settings.load import SETTINGS_FILE_VARIABLE, variable_of
+
+EXIT_CODES = (
+    "Exit codes: 0 success, 1 a problem was found, 2 wrong usage, 3 no node"
+    " answers, 4 the node refuses the change."
+)
+
+app = typer.Typer(
+    help="Checks and builds rules, and shows and drains nodes.",
+    epilog=EXIT_CODES,
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+    rich_markup_mode=None,
+)
+settings_app = typer.Typer(
+    help="Checks and shows a node's settings.",
+    no_args_is_help=True,
+    rich_markup_mode=None,
+)
+app.add_typer(settings_app, name="settings")
+
+NodeCommand = Callable[[AdminTarget, TextIO, TextIO, bool], Awaitable[int]]
+
+Json = Annotated[bool, typer.Option("--json", help="Write JSON.")]
+Rules = Annotated[pathlib.Path, typer.Argument(help="Rules file.")]
+SettingsFile = Annotated[pathlib.Path, typer.Argument(help="Settings file.")]
+Admin = Annotated[
+    str,
+    typer.Option(
+        "--admin", help="Admin listener, such as http://127.0.0.1:9101."
+    ),
+]
+Settings = Annotated[
+    pathlib.Path | None,
+    typer.Option(
+        "--settings",
+        envvar=SETTINGS_FILE_VARIABLE,
+        help="Settings file that names the admin listener and the token.",
+    ),
+]
+
+
+@settings_app.command("check")
+def settings_check(path: SettingsFile, as_json: Json = False) -> None:
+    """Reports every error of a settings file and the environment."""
+    _exit(node_settings.check_settings(path, os.environ, sys.stdout, as_json))
+
+
+@settings_app.command("show")
+def settings_show(path: SettingsFile, as_json: Json = False) -> None:
+    """Shows every setting and where its value comes from."""
+    _exit(node_settings.show_settings(path, os.environ, sys.stdout, as_json))
+
+
+@app.command()
+def status(
+    admin: Admin = "",
+    settings: Settings = None,
+    as_json: Json = False,
+    watch: Annotated[
+        bool, typer.Option("--watch", help="Repeat until Ctrl-C.")
+    ] = False,
+) -> None:
+    """Shows a node's state; exits with 1 if the node is not ready."""
+    if not watch:
+        _run(node.show_status, admin, settings, as_json)
+    target = _target(admin, settings)
+    try:
+        asyncio.run(node.watch_status(target, sys.stdout, sys.stderr, as_json))
+    except KeyboardInterrupt:
+        _exit(ExitCode.OK)
+
+
+@app.command()
+def history(
+    admin: Admin = "", settings: Settings = None, as_json: Json = False
+) -> None:
+    """Shows a node's recent changes."""
+    _run(node.show_history, admin, settings, as_json)
+
+
+@app.command()
+def routes(
+    admin: Admin = "", settings: Settings = None, as_json: Json = False
+) -> None:
+    """Shows the routes that a node has in force."""
+    _run(node.show_routes, admin, settings, as_json)
+
+
+@app.command()
+def drain(
+    admin: Admin = "", settings: Settings = None, as_json: Json = False
+) -> None:
+    """Begins a planned stop: no new work, running work finishes."""
+    _run(node.drain_node, admin, settings, as_json)
+
+
+@app.command()
+def check(path: Rules, as_json: Json = False) -> None:
+    """Reports every error of a rules file."""
+    _exit(lazy.rules_commands().check(path, sys.stdout, as_json))
+
+
+@app.command()
+def build(
+    path: Rules,
+    out_dir: Annotated[
+        pathlib.Path,
+        typer.Option("--out", help="Folder for the parts and the manifest."),
+    ],
+    version_number: Annotated[
+        int | None, typer.Option(help="Number of the version.")
+    ] = None,
+    after: Annotated[
+        pathlib.Path | None,
+        typer.Option(help="Manifest of the version before this one."),
+    ] = None,
+    as_json: Json = False,
+) -> None:
+    """Builds the parts and the manifest of a rules file."""
+    commands = lazy.rules_commands()
+    _exit(
+        commands.build(
+            path, out_dir, version_number, after, sys.stdout, as_json
+        )
+    )
+
+
+@app.command()
+def diff(
+    old: Annotated[pathlib.Path, typer.Argument(help="Old rules file.")],
+    new: Annotated[pathlib.Path, typer.Argument(help="New rules file.")],
+    as_json: Json = False,
+) -> None:
+    """Compares two rules files by their effect."""
+    _exit(lazy.rules_commands().diff(old, new, sys.stdout, as_json))
+
+
+@app.command()
+def explain(
+    path: Rules,
+    request: Annotated[
+        str, typer.Argument(help="Request, such as 'POST /commissions'.")
+    ],
+    host: Annotated[str, typer.Option(help="Host of the request.")] = "",
+    as_json: Json = False,
+) -> None:
+    """Tells which route a request takes and why."""
+    commands = lazy.rules_commands()
+    _exit(commands.explain(path, request, host, sys.stdout, as_json))
+
+
+@app.command()
+def demo(
+    seconds_to_run: Annotated[
+        float, typer.Option(help="Time to run, in seconds.")
+    ] = 20.0,
+) -> None:
+    """Runs a small fleet on this machine."""
+    _exit(lazy.demo_commands().demo(seconds_to_run, sys.stdout))
+
+
+@app.command()
+def bench(
+    quick: Annotated[bool, typer.Option("--quick")] = False,
+    capacity: Annotated[bool, typer.Option("--capacity")] = False,
+) -> None:
+    """Measures the system on this machine."""
+    _exit(lazy.bench_commands().bench(quick, capacity, sys.stdout))
+
+
+def main() -> None:
+    """Runs the command."""
+    app()
+
+
+def _run(
+    command: NodeCommand,
+    admin: str,
+    settings: pathlib.Path | None,
+    as_json: bool,
+) -> NoReturn:
+    target = _target(admin, settings)
+
+    async def run() -> int:
+        return await command(target, sys.stdout, sys.stderr, as_json)
+
+    _exit(asyncio.run(run()))
+
+
+def _target(admin: str, settings: pathlib.Path | None) -> AdminTarget:
+    token = os.environ.get(variable_of("admin_token"), "")
+    if admin:
+        return AdminTarget(_with_scheme(admin), token)
+    if settings is None:
+        _usage_error(
+            "name a node with --admin URL or --settings FILE, or set"
+            f" {SETTINGS_FILE_VARIABLE}"
+        )
+    result = node_settings.read_settings(settings, os.environ)
+    if isinstance(result, Err):
+        for error in result.errors:
+            sys.stderr.write(f"{settings}: {error}\n")
+        _exit(ExitCode.PROBLEM)
+    listen = result.value.listen
+    secret = result.value.admin_token
+    host = (
+        f"[{listen.admin_host}]"
+        if ":" in listen.admin_host
+        else (listen.admin_host)
+    )
+    return AdminTarget(
+        f"http://{host}:{listen.admin_port}",
+        secret.get_secret_value() if secret else "",
+    )
+
+
+def _with_scheme(admin: str) -> str:
+    url = admin if "://" in admin else f"http://{admin}"
+    return url.rstrip("/")
+
+
+def _usage_error(message: str) -> NoReturn:
+    sys.stderr.write(f"magnolia: {message}\n")
+    _exit(ExitCode.USAGE)
+
+
+def _exit(code: int) -> NoReturn:
+    raise typer.Exit(code)
+
+
+if __name__ == "__main__":
+    main()
--- a/magnoliafork/observe/admin.py
+++ b/magnoliafork/observe/admin.py
@@ -7,13 +7,16 @@
 from aiohttp import web
 from prometheus_client import CONTENT_TYPE_LATEST
 
-from magnoliafork.model.rules import RouteRule
 from magnoliafork.model.view import SnapshotView
 from magnoliafork.observe.events import Event
 from magnoliafork.observe.logs import LEVELS, EventLog
 from magnoliafork.observe.metrics import Metrics
 from magnoliafork.observe.render import to_json, to_prometheus
-from magnoliafork.observe.status import StatusSource, status_json
+from magnoliafork.observe.status import (
+    StatusSource,
+    routes_status,
+    status_json,
+)
 
 MAX_BODY_BYTES = 4096
 SHUTDOWN_TIMEOUT_S = 0.5
@@ -125,15 +128,8 @@
         return web.json_response([dataclasses.asdict(e) for e in entries])
 
     async def _routes(self, request: web.Request) -> web.Response:
-        snapshot = self._snapshots.current
-        if snapshot is None:
-            return web.json_response({"version_number": 0, "routes": []})
-        return web.json_response(
-            {
-                "version_number": snapshot.version.number,
-                "routes": [_route_json(r) for r in snapshot.rules.routes],
-            }
-        )
+        routes = routes_status(self._snapshots.current)
+        return web.json_response(dataclasses.asdict(routes))
 
     async def _set_log_level(self, request: web.Request) -> web.Response:
         level = await _string_field(request, "level")
@@ -159,11 +155,3 @@
 
 def _error(status: int, message: str) -> web.Response:
     return web.json_response({"error": message}, status=status)
-
-
-def _route_json(route: RouteRule) -> dict[str, object]:
-    value = dataclasses.asdict(route)
-    value["priority"] = route.priority.name.lower()
-    value["asked_by"] = route.origin.asked_by
-    del value["origin"]
-    return value
--- a/magnoliafork/observe/metrics.py
+++ b/magnoliafork/observe/metrics.py
@@ -163,12 +163,12 @@
 
     def record_call(self, service: str, seconds: float) -> None:
         """Records the latency of one call to a service."""
-        histogram = self.services.get(service)
-        if histogram is None:
-            if len(self.services) >= MAX_SERVICES:
-                service = OTHER
-            histogram = self.services.setdefault(service, LatencyHistogram())
-        histogram.record(seconds)
+        is_new = service not in self.services
+        if is_new and len(self.services) >= MAX_SERVICES:
+            service = OTHER
+        if service not in self.services:
+            self.services[service] = LatencyHistogram()
+        self.services[service].record(seconds)
 
     def tick(self, now_s: float) -> None:
         """Ends the window of all histograms when it is over."""
--- a/magnoliafork/observe/status.py
+++ b/magnoliafork/observe/status.py
@@ -6,6 +6,8 @@
 from typing import Protocol
 
 from magnoliafork.model.instance import Instance
+from magnoliafork.model.rules import RouteRule
+from magnoliafork.model.snapshot import Snapshot
 from magnoliafork.model.version import NO_VERSION, Version
 
 MAX_HISTORY_ENTRIES = 200
@@ -110,6 +112,71 @@
     detail: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteStatus:
+    """One route in force.
+
+    Attributes:
+        method: HTTP method, or `*`.
+        host: Host name, or `*`.
+        path: Path, or a prefix with a trailing `/*`.
+        targets: Weight by service.
+        repeatable: Whether a request may run more than once.
+        deadline_ms: Longest time of a request.
+        retries: Attempts after the first one.
+        hedge_ms: Delay before a second copy, or 0.
+        priority: Name of the priority class.
+        asked_by: Who asked for the rule.
+    """
+
+    method: str
+    host: str
+    path: str
+    targets: Mapping[str, int]
+    repeatable: bool
+    deadline_ms: int
+    retries: int
+    hedge_ms: int
+    priority: str
+    asked_by: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutesStatus:
+    """The routes of the version in force.
+
+    Attributes:
+        version_number: Version number in force, or 0.
+        routes: Routes of that version.
+    """
+
+    version_number: int
+    routes: tuple[RouteStatus, ...]
+
+
+def routes_status(snapshot: Snapshot | None) -> RoutesStatus:
+    """Returns the routes of a snapshot; none before the first one."""
+    if snapshot is None:
+        return RoutesStatus(NO_VERSION.number, ())
+    routes = tuple(_route_status(route) for route in snapshot.rules.routes)
+    return RoutesStatus(snapshot.version.number, routes)
+
+
+def _route_status(route: RouteRule) -> RouteStatus:
+    return RouteStatus(
+        method=route.method,
+        host=route.host,
+        path=route.path,
+        targets={t.service: t.weight for t in route.targets},
+        repeatable=route.repeatable,
+        deadline_ms=route.deadline_ms,
+        retries=route.retries,
+        hedge_ms=route.hedge_ms,
+        priority=route.priority.name.lower(),
+        asked_by=route.origin.asked_by,
+    )
+
+
 class History:
     """The most recent changes, oldest first."""
 
--- /dev/null
+++ b/magnoliafork/tests/commands/test_cli.py
@@ -0,0 +1,175 @@
+"""The magnolia command must exit with the documented codes."""
+
+import asyncio
+import json
+import pathlib
+import socket
+import threading
+from collections.abc import Iterator
+
+import pytest
+from typer.testing import CliRunner, Result
+
+from magnoliafork.cli import app
+from magnoliafork.commands import lazy
+from magnoliafork.tests.observe.nodes import TOKEN, FakeNode, admin_of
+
+
+class RunningNode:
+    """An admin listener on its own thread, as another process would be."""
+
+    def __init__(self) -> None:
+        self.node = FakeNode()
+        self.port = 0
+        self._loop = asyncio.new_event_loop()
+        self._server = admin_of(self.node)
+        self._thread = threading.Thread(target=self._loop.run_forever)
+
+    def start(self) -> None:
+        self._thread.start()
+        starting = asyncio.run_coroutine_threadsafe(
+            self._server.start("127.0.0.1", 0), self._loop
+        )
+        self.port = starting.result(5)
+
+    def stop(self) -> None:
+        stopping = self._server.stop()
+        asyncio.run_coroutine_threadsafe(stopping, self._loop).result(5)
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(5)
+        self._loop.close()
+
+
+@pytest.fixture
+def running() -> Iterator[RunningNode]:
+    node = RunningNode()
+    node.start()
+    yield node
+    node.stop()
+
+
+def magnolia(*arguments: str, **environment: str) -> Result:
+    variables: dict[str, str | None] = {
+        "MAGNOLIA_SETTINGS": None,
+        "MAGNOLIA_ADMIN_TOKEN": None,
+    }
+    variables.update(environment)
+    return CliRunner().invoke(app, arguments, env=variables)
+
+
+def test_status_shows_the_node(running: RunningNode) -> None:
+    """Guards against a status that hides a rejected version or zone."""
+    result = magnolia("status", "--admin", f"127.0.0.1:{running.port}")
+    assert result.exit_code == 0
+    for expected in (
+        "state      ready",
+        "version    7 (abababababab)",
+        "rejected   8 (cdcdcdcdcdcd): bad zone",
+        "members    3 alive, 1 dead",
+        "zones out  rawdon",
+        "upstream   4 of 12 requests, 0 queued, ramp 100%",
+        "a-3        berthier  7        120 ms",
+        "retries  2",
+    ):
+        assert expected in result.stdout
+    running.node.ready = False
+    result = magnolia("status", "--admin", f"127.0.0.1:{running.port}")
+    assert result.exit_code == 1
+    assert "not ready" in result.stdout
+
+
+def test_history_and_routes_as_tables_and_json(running: RunningNode) -> None:
+    """Guards against output that scripts or operators cannot read."""
+    admin = ("--admin", f"http://127.0.0.1:{running.port}/")
+    assert "config_applied" in magnolia("history", *admin).stdout
+    entries = json.loads(magnolia("history", "--json", *admin).stdout)
+    assert entries[0]["version_number"] == 7
+    assert "Marie" in magnolia("routes", *admin).stdout
+    routes = json.loads(magnolia("routes", "--json", *admin).stdout)
+    assert routes["routes"][0]["targets"] == {"commissions": 1}
+
+
+def test_drain_needs_the_token(running: RunningNode) -> None:
+    """Guards against a drain that is refused without an explanation."""
+    admin = ("--admin", f"127.0.0.1:{running.port}")
+    refused = magnolia("drain", *admin)
+    assert refused.exit_code == 4
+    assert "MAGNOLIA_ADMIN_TOKEN" in refused.stderr
+    assert running.node.drains == 0
+    done = magnolia("drain", *admin, MAGNOLIA_ADMIN_TOKEN=TOKEN)
+    assert done.exit_code == 0
+    assert running.node.drains == 1
+
+
+def test_settings_file_names_the_node(
+    running: RunningNode, tmp_path: pathlib.Path
+) -> None:
+    """Guards against a command that needs the address twice."""
+    path = tmp_path / "node.yaml"
+    path.write_text(
+        "instance: {instance_id: a-1, service: a, zone: z, region: r}\n"
+        "listen: {host: 10.0.0.1, peer_port: 1, ingress_port: 2,"
+        f" admin_port: {running.port}}}\n"
+        'upstream: {url: "http://127.0.0.1:5000"}\n'
+        'source: {url: "http://10.0.0.5:2400"}\n'
+        f"admin_token: {TOKEN!r}\n"
+    )
+    assert magnolia("drain", MAGNOLIA_SETTINGS=str(path)).exit_code == 0
+    path.write_text("logs: 1")
+    broken = magnolia("status", "--settings", str(path))
+    assert broken.exit_code == 1
+    assert "line 1, column 7" in broken.stderr
+
+
+def test_node_that_is_not_there_is_exit_code_3() -> None:
+    """Guards against a traceback when a node is down."""
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{free.getsockname()[1]}"
+        result = magnolia("status", "--admin", address)
+    assert result.exit_code == 3
+    assert f"no node answers at http://{address}" in result.stderr
+    assert magnolia("status", "--admin", "http://").exit_code == 3
+
+
+def test_other_server_is_reported_as_such(running: RunningNode) -> None:
+    """Guards against a wrong port that looks like a broken node."""
+    address = f"http://127.0.0.1:{running.port}/healthz?"
+    result = magnolia("status", "--admin", address)
+    assert result.exit_code == 3
+    assert "is not an admin listener" in result.stderr
+
+
+def test_missing_address_is_wrong_usage() -> None:
+    """Guards against a command that silently asks another node."""
+    result = magnolia("status")
+    assert result.exit_code == 2
+    assert "--settings" in result.stderr
+
+
+def test_rules_arguments_reach_their_functions(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against options that are passed in a wrong order."""
+    calls: list[tuple[object, ...]] = []
+
+    class Recorder:
+        def __getattr__(self, name: str) -> object:
+            def call(*arguments: object) -> int:
+                calls.append((name, *arguments[:-2], arguments[-1]))
+                return 1
+
+            return call
+
+    monkeypatch.setattr(lazy, "rules_commands", Recorder)
+    assert magnolia("check", "r", "--json").exit_code == 1
+    magnolia("build", "r", "--out", "o", "--after", "m")
+    magnolia("diff", "a", "b")
+    magnolia("explain", "r", "POST /x", "--host", "h")
+    path = pathlib.Path
+    assert calls == [
+        ("check", path("r"), True),
+        ("build", path("r"), path("o"), None, path("m"), False),
+        ("diff", path("a"), path("b"), False),
+        ("explain", path("r"), "POST /x", "h", False),
+    ]
