--- /dev/null
+++ b/magnoliafork/rules/parser.py
@@ -0,0 +1,215 @@
+"""Parses a rules file into a document whose values are not yet checked."""
+
+import dataclasses
+from collections.abc import Callable, Mapping
+
+from magnoliafork.model.result import Err, Ok, Result
+from magnoliafork.model.rules import (
+    Priority,
+    RouteRule,
+    ServiceRule,
+)
+from magnoliafork.rules.document import (
+    DrainRule,
+    Kind,
+    RuleDocument,
+    Subject,
+    ZoneRule,
+)
+from magnoliafork.rules.errors import RuleError
+from magnoliafork.rules.lexer import Line, Token, lex
+from magnoliafork.rules.line_parser import SYNTAX, LineParser
+from magnoliafork.rules.values import ROUTE_SETTINGS, SERVICE_SETTINGS
+
+REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+
+DEFAULT_PRIORITY = Priority.NORMAL
+DEFAULT_RAMP_MS = 10_000
+DEFAULT_RAMP_START = 1
+DEFAULT_DEADLINE_MS = 1_000
+DEFAULT_RETRIES = 2
+DEFAULT_HEDGE_MS = 0
+
+Positions = Mapping[str, Token]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ParsedFile:
+    """Rules of a file with the positions of their fields.
+
+    Attributes:
+        document: The rules; defaults are filled in.
+        positions: Tokens of each rule by field name; `keyword` is always
+            present.
+    """
+
+    document: RuleDocument
+    positions: Mapping[Subject, Positions]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reading:
+    """Everything learned from a file, even if it has errors.
+
+    Attributes:
+        file: The rules of all lines without an error.
+        errors: Errors of the other lines.
+        unread_names: Names that the other lines may define.
+    """
+
+    file: ParsedFile
+    errors: tuple[RuleError, ...]
+    unread_names: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _RouteDraft:
+    """A route whose priority may still depend on its first target."""
+
+    route: RouteRule
+    has_priority: bool
+
+
+def parse(text: str) -> Result[ParsedFile, RuleError]:
+    """Parses a rules file and reports all syntax errors at once."""
+    reading = read(text)
+    if reading.errors:
+        return Err(reading.errors)
+    return Ok(reading.file)
+
+
+def read(text: str) -> Reading:
+    """Parses what can be parsed and collects the errors of the rest."""
+    reader = _Reader()
+    for line in lex(text):
+        reader.read_line(line)
+    return reader.finish()
+
+
+class _Reader:
+    """Collects the rules of a file line by line."""
+
+    def __init__(self) -> None:
+        self._zones: list[ZoneRule] = []
+        self._services: list[ServiceRule] = []
+        self._routes: list[_RouteDraft] = []
+        self._drains: list[DrainRule] = []
+        self._positions: dict[Subject, Positions] = {}
+        self._errors: list[RuleError] = []
+        self._unread_names: set[str] = set()
+        self._parsers: dict[str, Callable[[LineParser], None]] = {
+            "zone": self._read_zone,
+            "service": self._read_service,
+            "route": self._read_route,
+            "drain": self._read_drain,
+        }
+
+    def read_line(self, line: Line) -> None:
+        parser = LineParser(line)
+        read_rule = self._parsers.get(line.words[0].text)
+        if read_rule is None:
+            parser.fail_choice("rule", line.words[0], tuple(SYNTAX))
+        else:
+            read_rule(parser)
+        if parser.errors:
+            self._errors.extend(parser.errors)
+            if len(line.words) > 1:
+                self._unread_names.add(line.words[1].text)
+
+    def finish(self) -> Reading:
+        priorities = {item.name: item.priority for item in self._services}
+        document = RuleDocument(
+            tuple(self._zones),
+            tuple(self._services),
+            tuple(_with_priority(item, priorities) for item in self._routes),
+            tuple(self._drains),
+        )
+        return Reading(
+            ParsedFile(document, self._positions),
+            tuple(self._errors),
+            frozenset(self._unread_names),
+        )
+
+    def _read_zone(self, parser: LineParser) -> None:
+        name = parser.take("name", "a zone name")
+        state = parser.take_optional("state")
+        if state is not None and state.text != "out":
+            parser.fail_choice("zone state", state, ("out",))
+        parser.expect_end()
+        origin = parser.origin()
+        if name is None or parser.errors:
+            return
+        self._add_position(Kind.ZONE, len(self._zones), parser)
+        self._zones.append(ZoneRule(name.text, state is not None, origin))
+
+    def _read_drain(self, parser: LineParser) -> None:
+        name = parser.take("name", "an instance id")
+        parser.expect_end()
+        origin = parser.origin()
+        if name is None or parser.errors:
+            return
+        self._add_position(Kind.DRAIN, len(self._drains), parser)
+        self._drains.append(DrainRule(name.text, origin))
+
+    def _read_service(self, parser: LineParser) -> None:
+        name = parser.take("name", "a service name")
+        settings = parser.settings(SERVICE_SETTINGS)
+        for key in ("slots", "connections"):
+            if key not in settings and not parser.has_setting(key):
+                parser.fail_end(f"{key} is missing", f"{key}=NUMBER")
+        origin = parser.origin()
+        if name is None or parser.errors:
+            return
+        slots = settings["slots"]
+        rule = ServiceRule(
+            name=name.text,
+            slots=slots,
+            connections=settings["connections"],
+            queue=settings.get("queue", slots),
+            priority=Priority(settings.get("priority", DEFAULT_PRIORITY)),
+            ramp_s=settings.get("ramp", DEFAULT_RAMP_MS) / 1000,
+            ramp_start=settings.get("ramp-start", DEFAULT_RAMP_START),
+            origin=origin,
+        )
+        self._add_position(Kind.SERVICE, len(self._services), parser)
+        self._services.append(rule)
+
+    def _read_route(self, parser: LineParser) -> None:
+        method = parser.take("method", "a method")
+        host = parser.take("host", "a host")
+        path = parser.take("path", "a path")
+        targets = parser.targets()
+        settings = parser.settings(ROUTE_SETTINGS)
+        origin = parser.origin()
+        if method is None or host is None or path is None or parser.errors:
+            return
+        repeatable = settings.get(
+            "repeatable", method.text in REPEATABLE_METHODS
+        )
+        rule = RouteRule(
+            method=method.text,
+            host=host.text,
+            path=path.text,
+            targets=targets,
+            repeatable=bool(repeatable),
+            deadline_ms=settings.get("deadline", DEFAULT_DEADLINE_MS),
+            retries=settings.get("retries", DEFAULT_RETRIES),
+            hedge_ms=settings.get("hedge", DEFAULT_HEDGE_MS),
+            priority=Priority(settings.get("priority", DEFAULT_PRIORITY)),
+            origin=origin,
+        )
+        self._add_position(Kind.ROUTE, len(self._routes), parser)
+        self._routes.append(_RouteDraft(rule, "priority" in settings))
+
+    def _add_position(self, kind: Kind, index: int, parser: LineParser) -> None:
+        self._positions[Subject(kind, index)] = parser.positions
+
+
+def _with_priority(
+    draft: _RouteDraft, priorities: Mapping[str, Priority]
+) -> RouteRule:
+    if draft.has_priority:
+        return draft.route
+    first = draft.route.targets[0].service
+    priority = priorities.get(first, DEFAULT_PRIORITY)
+    return dataclasses.replace(draft.route, priority=priority)
