--- a/magnoliafork/cli.py
+++ b/magnoliafork/cli.py
@@ -1,7 +1,7 @@
 """The magnolia command.
 
-Exit codes: 0 success, 1 a problem was found, 2 wrong usage, 3 no node
-answers, 4 the node refuses the change.
+Commands that load large parts of the package import them when they run, so
+that the others start faster.
 """
 
 import asyncio
@@ -20,8 +20,9 @@
 from magnoliafork.settings.load import SETTINGS_FILE_VARIABLE, variable_of
 
 EXIT_CODES = (
-    "Exit codes: 0 success, 1 a problem was found, 2 wrong usage, 3 no node"
-    " answers, 4 the node refuses the change."
+    "Exit codes: 0 success, 1 a problem or a difference was found, 2 wrong"
+    " usage or an unreadable file, 3 no node answers, 4 the node refuses the"
+    " change."
 )
 
 app = typer.Typer(
@@ -42,7 +43,9 @@
 NodeCommand = Callable[[AdminTarget, TextIO, TextIO, bool], Awaitable[int]]
 
 Json = Annotated[bool, typer.Option("--json", help="Write JSON.")]
-Rules = Annotated[pathlib.Path, typer.Argument(help="Rules file.")]
+Rules = Annotated[
+    pathlib.Path, typer.Argument(help="Rules file or built folder.")
+]
 SettingsFile = Annotated[pathlib.Path, typer.Argument(help="Settings file.")]
 Admin = Annotated[
     str,
@@ -118,7 +121,9 @@
 @app.command()
 def check(path: Rules, as_json: Json = False) -> None:
     """Reports every error of a rules file."""
-    _exit(lazy.rules_commands().check(path, sys.stdout, as_json))
+    from magnoliafork.commands import rules
+
+    _exit(rules.check(path, sys.stdout, as_json=as_json))
 
 
 @app.command()
@@ -138,22 +143,30 @@
     as_json: Json = False,
 ) -> None:
     """Builds the parts and the manifest of a rules file."""
-    commands = lazy.rules_commands()
+    from magnoliafork.commands import rules
+
     _exit(
-        commands.build(
-            path, out_dir, version_number, after, sys.stdout, as_json
+        rules.build(
+            path,
+            out_dir,
+            sys.stdout,
+            version_number=version_number,
+            after=after,
+            as_json=as_json,
         )
     )
 
 
 @app.command()
 def diff(
-    old: Annotated[pathlib.Path, typer.Argument(help="Old rules file.")],
-    new: Annotated[pathlib.Path, typer.Argument(help="New rules file.")],
+    old: Annotated[pathlib.Path, typer.Argument(help="Old rules.")],
+    new: Annotated[pathlib.Path, typer.Argument(help="New rules.")],
     as_json: Json = False,
 ) -> None:
-    """Compares two rules files by their effect."""
-    _exit(lazy.rules_commands().diff(old, new, sys.stdout, as_json))
+    """Compares two rules files; exits with 1 if they differ."""
+    from magnoliafork.commands import rules
+
+    _exit(rules.diff(old, new, sys.stdout, as_json=as_json))
 
 
 @app.command()
@@ -165,9 +178,17 @@
     host: Annotated[str, typer.Option(help="Host of the request.")] = "",
     as_json: Json = False,
 ) -> None:
-    """Tells which route a request takes and why."""
-    commands = lazy.rules_commands()
-    _exit(commands.explain(path, request, host, sys.stdout, as_json))
+    """Tells which route a request takes; exits with 1 if there is none."""
+    from magnoliafork.commands import rules
+
+    method, _, request_path = request.strip().partition(" ")
+    if not request_path.startswith("/"):
+        _usage_error(f"'{request}' is not a method and a path")
+    _exit(
+        rules.explain(
+            path, method, host, request_path, sys.stdout, as_json=as_json
+        )
+    )
 
 
 @app.command()
@@ -219,9 +240,11 @@
         )
     result = node_settings.read_settings(settings, os.environ)
     if isinstance(result, Err):
-        for error in result.errors:
-            sys.stderr.write(f"{settings}: {error}\n")
-        _exit(ExitCode.PROBLEM)
+        _exit(
+            node_settings.check_settings(
+                settings, os.environ, sys.stderr, as_json=False
+            )
+        )
     listen = result.value.listen
     secret = result.value.admin_token
     host = (
--- a/magnoliafork/commands/lazy.py
+++ b/magnoliafork/commands/lazy.py
@@ -1,55 +1,9 @@
-"""Imports of commands that load large parts of the package.
-
-`magnolia status` answers faster when it does not load the rules compiler,
-the stand-ins and the daemon.
-"""
+"""Imports of the demo and the bench, which load the whole package."""
 
 import importlib
-import pathlib
 from typing import Protocol, TextIO, cast
 
 
-class RulesCommands(Protocol):
-    """Functions of `magnoliafork.commands.rules`."""
-
-    def check(self, path: pathlib.Path, output: TextIO, as_json: bool) -> int:
-        """Checks a rules file."""
-        ...
-
-    def build(
-        self,
-        path: pathlib.Path,
-        out_dir: pathlib.Path,
-        version_number: int | None,
-        after_path: pathlib.Path | None,
-        output: TextIO,
-        as_json: bool,
-    ) -> int:
-        """Writes the parts and the manifest of a rules file."""
-        ...
-
-    def diff(
-        self,
-        old_path: pathlib.Path,
-        new_path: pathlib.Path,
-        output: TextIO,
-        as_json: bool,
-    ) -> int:
-        """Compares two rules files."""
-        ...
-
-    def explain(
-        self,
-        path: pathlib.Path,
-        request: str,
-        host: str,
-        output: TextIO,
-        as_json: bool,
-    ) -> int:
-        """Tells which route a request takes."""
-        ...
-
-
 class DemoCommands(Protocol):
     """Functions of `magnoliafork.commands.demo`."""
 
@@ -66,12 +20,6 @@
         ...
 
 
-def rules_commands() -> RulesCommands:
-    """Loads the commands for rules files."""
-    module = importlib.import_module("magnoliafork.commands.rules")
-    return cast(RulesCommands, module)
-
-
 def demo_commands() -> DemoCommands:
     """Loads the demo."""
     module = importlib.import_module("magnoliafork.commands.demo")
--- a/magnoliafork/commands/node_settings.py
+++ b/magnoliafork/commands/node_settings.py
@@ -3,12 +3,12 @@
 import dataclasses
 import json
 import pathlib
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import TextIO
 
 from magnoliafork.commands.exit_codes import ExitCode
 from magnoliafork.commands.tables import format_table
-from magnoliafork.model.result import Err, Result
+from magnoliafork.model.result import Err, Ok, Result
 from magnoliafork.settings.describe import describe
 from magnoliafork.settings.errors import Place, SettingsError
 from magnoliafork.settings.load import load
@@ -19,11 +19,10 @@
     path: pathlib.Path, environment: Mapping[str, str]
 ) -> Result[NodeSettings, SettingsError]:
     """Loads a settings file; a file that cannot be read is an error."""
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        return Err((SettingsError("", f"cannot be read: {error}", Place()),))
-    return load(text, environment)
+    text = _read_text(path)
+    if isinstance(text, Err):
+        return Err(text.errors)
+    return load(text.value, environment)
 
 
 def check_settings(
@@ -33,19 +32,14 @@
     as_json: bool,
 ) -> int:
     """Writes all errors of a settings file."""
-    result = read_settings(path, environment)
+    text = _read_text(path)
+    if isinstance(text, Err):
+        _write_errors(path, text.errors, output, as_json)
+        return ExitCode.USAGE
+    result = load(text.value, environment)
     errors = result.errors if isinstance(result, Err) else ()
-    if as_json:
-        value = [dataclasses.asdict(error) for error in errors]
-        output.write(json.dumps({"errors": value}) + "\n")
-    else:
-        for error in errors:
-            output.write(f"{path}: {error}\n")
-    if errors:
-        return ExitCode.PROBLEM
-    if not as_json:
-        output.write(f"{path}: ok\n")
-    return ExitCode.OK
+    _write_errors(path, errors, output, as_json)
+    return ExitCode.PROBLEM if errors else ExitCode.OK
 
 
 def show_settings(
@@ -66,3 +60,26 @@
     rows = [[s.name, s.value, s.origin] for s in described]
     output.write(format_table(["setting", "value", "from"], rows))
     return ExitCode.OK
+
+
+def _read_text(path: pathlib.Path) -> Result[str, SettingsError]:
+    try:
+        return Ok(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        return Err((SettingsError("", f"cannot be read: {error}", Place()),))
+
+
+def _write_errors(
+    path: pathlib.Path,
+    errors: Sequence[SettingsError],
+    output: TextIO,
+    as_json: bool,
+) -> None:
+    if as_json:
+        value = [dataclasses.asdict(error) for error in errors]
+        output.write(json.dumps({"errors": value}) + "\n")
+        return
+    for error in errors:
+        output.write(f"{path}: {error}\n")
+    if not errors:
+        output.write(f"{path}: ok\n")
--- a/magnoliafork/tests/commands/test_cli.py
+++ b/magnoliafork/tests/commands/test_cli.py
@@ -11,7 +11,6 @@
 from typer.testing import CliRunner, Result
 
 from magnoliafork.cli import app
-from magnoliafork.commands import lazy
 from magnoliafork.tests.observe.nodes import TOKEN, FakeNode, admin_of
 
 
@@ -147,29 +146,27 @@
     assert "--settings" in result.stderr
 
 
-def test_rules_arguments_reach_their_functions(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+def test_rules_commands_take_their_arguments(tmp_path: pathlib.Path) -> None:
     """Guards against options that are passed in a wrong order."""
-    calls: list[tuple[object, ...]] = []
-
-    class Recorder:
-        def __getattr__(self, name: str) -> object:
-            def call(*arguments: object) -> int:
-                calls.append((name, *arguments[:-2], arguments[-1]))
-                return 1
-
-            return call
-
-    monkeypatch.setattr(lazy, "rules_commands", Recorder)
-    assert magnolia("check", "r", "--json").exit_code == 1
-    magnolia("build", "r", "--out", "o", "--after", "m")
-    magnolia("diff", "a", "b")
-    magnolia("explain", "r", "POST /x", "--host", "h")
-    path = pathlib.Path
-    assert calls == [
-        ("check", path("r"), True),
-        ("build", path("r"), path("o"), None, path("m"), False),
-        ("diff", path("a"), path("b"), False),
-        ("explain", path("r"), "POST /x", "h", False),
-    ]
+    old, new = tmp_path / "old", tmp_path / "new"
+    old.write_text(
+        "service a slots=1 connections=9  # Ana\nroute GET * /a -> a  # Ana\n"
+    )
+    new.write_text(old.read_text() + "route GET h /b -> a  # Bo\n")
+    out = str(tmp_path / "out")
+    assert magnolia("check", str(old)).exit_code == 0
+    build = magnolia("build", str(old), "--out", out, "--version-number", "4")
+    assert "version 4" in build.stdout
+    after = magnolia(
+        "build", str(new), "--out", out, "--after", f"{out}/manifest"
+    )
+    assert "version 5" in after.stdout
+    assert magnolia("diff", str(old), str(new)).exit_code == 1
+    assert magnolia("diff", str(new), out).exit_code == 0
+    request = ("explain", str(new), "GET /b")
+    assert magnolia(*request).exit_code == 1
+    found = magnolia(*request, "--host", "h", "--json")
+    assert found.exit_code == 0
+    assert "Bo" in found.stdout
+    assert magnolia("explain", str(new), "GET").exit_code == 2
+    assert magnolia("check", str(tmp_path / "none")).exit_code == 2
--- a/magnoliafork/tests/commands/test_settings_commands.py
+++ b/magnoliafork/tests/commands/test_settings_commands.py
@@ -33,7 +33,7 @@
     binary.write_bytes(b"\xff\xfe\x00")
     for path in (tmp_path / "none.yaml", tmp_path, binary):
         output = io.StringIO()
-        assert check_settings(path, {}, output, as_json=False) == 1
+        assert check_settings(path, {}, output, as_json=False) == 2
         assert "cannot be read" in output.getvalue()
 
 
