--- a/magnoliafork/observe/events.py
+++ b/magnoliafork/observe/events.py
@@ -39,4 +39,5 @@
     SPANS_DROPPED = "spans_dropped"
     ADMIN_REFUSED = "admin_refused"
     LOG_LEVEL_CHANGED = "log_level_changed"
+    LIBRARY_MESSAGE = "library_message"
     INTERNAL_ERROR = "internal_error"
--- a/magnoliafork/observe/logs.py
+++ b/magnoliafork/observe/logs.py
@@ -4,7 +4,7 @@
 import logging
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
@@ -21,7 +21,18 @@
 # platform's log collector.
 BURST_LINES = 10
 BURST_INTERVAL_S = 10.0
+MAX_LIMITED_EVENTS = 256
+OTHER_EVENT = "other"
 RESERVED_FIELDS = frozenset({"time", "level", "event", "suppressed"})
+# Loggers of other modules and libraries, with the lowest level to take.
+CAPTURED_LOGGERS = {
+    "magnoliafork": logging.DEBUG,
+    "aiohttp": logging.WARNING,
+    "asyncio": logging.WARNING,
+}
+_RECORD_ATTRIBUTES = frozenset(
+    logging.LogRecord("", 0, "", 0, "", None, None).__dict__
+) | {"message", "asctime", "taskName"}
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,7 +63,7 @@
             clock: Clock of the repetition limit, in seconds.
         """
         self._clock = clock
-        self._repetitions: dict[Event, _Repetition] = {}
+        self._repetitions: dict[str, _Repetition] = {}
         # Not in the logging module's registry, so that several nodes in one
         # process keep their own levels and streams.
         self._logger = logging.Logger("magnoliafork")
@@ -75,29 +86,30 @@
 
     def debug(self, event: Event, /, **fields: object) -> None:
         """Writes a detail that matters only while searching a fault."""
-        self._write(logging.DEBUG, event, fields)
+        self.write(logging.DEBUG, event, fields)
 
     def info(self, event: Event, /, **fields: object) -> None:
         """Writes a planned change."""
-        self._write(logging.INFO, event, fields)
+        self.write(logging.INFO, event, fields)
 
     def warning(self, event: Event, /, **fields: object) -> None:
         """Writes a fault that the node handles by itself."""
-        self._write(logging.WARNING, event, fields)
+        self.write(logging.WARNING, event, fields)
 
     def error(self, event: Event, /, **fields: object) -> None:
         """Writes a fault that operators have to handle."""
-        self._write(logging.ERROR, event, fields)
+        self.write(logging.ERROR, event, fields)
 
-    def _write(
-        self, level: int, event: Event, fields: dict[str, object]
+    def write(
+        self, level: int, event: str, fields: Mapping[str, object]
     ) -> None:
+        """Writes an event with a level of the logging module."""
         if not self._logger.isEnabledFor(level):
             return
         suppressed = self._admit(event)
         if suppressed is None:
             return
-        line: dict[str, object] = {"event": event.value}
+        line: dict[str, object] = {"event": str(event)}
         for name, value in fields.items():
             key = f"{name}_" if name in RESERVED_FIELDS else name
             line[key] = value
@@ -105,9 +117,12 @@
             line["suppressed"] = suppressed
         self._logger.log(level, line)
 
-    def _admit(self, event: Event) -> int | None:
+    def _admit(self, event: str) -> int | None:
         """Returns the lines left out before this one, or None to skip it."""
         now_s = self._clock()
+        is_new = event not in self._repetitions
+        if is_new and len(self._repetitions) >= MAX_LIMITED_EVENTS:
+            event = OTHER_EVENT
         repetition = self._repetitions.get(event)
         if repetition is None:
             repetition = self._repetitions[event] = _Repetition(now_s)
@@ -123,6 +138,51 @@
         return suppressed
 
 
+def capture_library_logs(log: EventLog) -> Callable[[], None]:
+    """Writes the records of the logging module's loggers as events.
+
+    A record may name its event and fields with `extra`; others become
+    `library_message`.
+
+    Args:
+        log: Log that receives the records.
+
+    Returns:
+        A function that ends the capture.
+    """
+    handler = _ForwardingHandler(log)
+    for name, level in CAPTURED_LOGGERS.items():
+        logger = logging.getLogger(name)
+        logger.setLevel(level)
+        logger.addHandler(handler)
+
+    def release() -> None:
+        for name in CAPTURED_LOGGERS:
+            logging.getLogger(name).removeHandler(handler)
+
+    return release
+
+
+class _ForwardingHandler(logging.Handler):
+    def __init__(self, log: EventLog) -> None:
+        super().__init__()
+        self._log = log
+
+    def emit(self, record: logging.LogRecord) -> None:
+        fields: dict[str, object] = {
+            name: value
+            for name, value in record.__dict__.items()
+            if name not in _RECORD_ATTRIBUTES
+        }
+        event = str(fields.pop("event", Event.LIBRARY_MESSAGE))
+        fields["logger"] = record.name
+        fields["message"] = record.getMessage()
+        if record.exc_info:
+            formatter = logging.Formatter()
+            fields["exception"] = formatter.formatException(record.exc_info)
+        self._log.write(record.levelno, event, fields)
+
+
 class _LowerCaseLevelFormatter(JsonFormatter):
     def format(self, record: logging.LogRecord) -> str:
         record.levelname = record.levelname.lower()
--- a/magnoliafork/settings/load.py
+++ b/magnoliafork/settings/load.py
@@ -134,8 +134,8 @@
 def _message(detail: Any) -> str:
     if detail["type"] == "string_pattern_mismatch":
         return (
-            "must be 1 to 63 letters, digits, '.', '_' or '-', and start"
-            " with a letter or digit"
+            "must be 1 to 63 small letters, digits or '-', and start with a"
+            " letter"
         )
     if detail["type"] == "string_type":
         return "must be text; put quotes around a number"
--- a/magnoliafork/settings/model.py
+++ b/magnoliafork/settings/model.py
@@ -12,9 +12,8 @@
 MAX_BODY_BYTES = 1024 * 1024
 MIN_TOKEN_CHARACTERS = 16
 
-Name = Annotated[
-    str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
-]
+# The form of names in the rules file; another one could never match a rule.
+Name = Annotated[str, pydantic.Field(pattern=r"^[a-z][a-z0-9-]{0,62}$")]
 Port = Annotated[int, pydantic.Field(ge=1, le=65535)]
 Seconds = Annotated[float, pydantic.Field(gt=0, le=3600)]
 
--- a/magnoliafork/tests/observe/test_logs.py
+++ b/magnoliafork/tests/observe/test_logs.py
@@ -2,9 +2,15 @@
 
 import io
 import json
+import logging
 
 from magnoliafork.observe.events import Event
-from magnoliafork.observe.logs import BURST_INTERVAL_S, BURST_LINES, EventLog
+from magnoliafork.observe.logs import (
+    BURST_INTERVAL_S,
+    BURST_LINES,
+    EventLog,
+    capture_library_logs,
+)
 
 
 class Clock:
@@ -60,3 +66,30 @@
     log.debug(Event.NODE_READY)
     assert not log.set_level("loud")
     assert [line["level"] for line in lines_of(stream)] == ["debug"]
+
+
+def test_records_of_other_loggers_become_events() -> None:
+    """Guards against lines of libraries that break the JSON stream."""
+    stream = io.StringIO()
+    release = capture_library_logs(EventLog(stream=stream))
+    logger = logging.getLogger("magnoliafork.wire")
+    try:
+        logger.warning("bad %s", "frame", extra={"event": "e", "peer": "a-1"})
+        try:
+            raise ValueError("cause")
+        except ValueError:
+            logging.getLogger("aiohttp.server").exception("failed")
+        logger.debug("below the level")
+    finally:
+        release()
+    named, failed = lines_of(stream)
+    assert named.pop("time")
+    assert named == {
+        "level": "warning",
+        "event": "e",
+        "peer": "a-1",
+        "logger": "magnoliafork.wire",
+        "message": "bad frame",
+    }
+    assert failed["event"] == "library_message"
+    assert "ValueError: cause" in str(failed["exception"])
--- a/magnoliafork/tests/settings/test_settings.py
+++ b/magnoliafork/tests/settings/test_settings.py
@@ -129,7 +129,7 @@
     """Guards against an override that is lost or not shown."""
     environment = {
         "MAGNOLIA_LISTEN__PEER_PORT": "7009",
-        "MAGNOLIA_INSTANCE__ZONE": "12",
+        "MAGNOLIA_INSTANCE__ZONE": "on",
         "MAGNOLIA_PEERS__SEEDS": "a-2@10.0.0.2:7001,a-3@[::1]:7002",
         "MAGNOLIA_ADMIN_TOKEN": "0123456789abcdef",
         "MAGNOLIA_SETTINGS": "/etc/magnolia/node.yaml",
@@ -137,7 +137,7 @@
     }
     settings = loaded(MINIMAL, environment)
     assert settings.listen.peer_port == 7009
-    assert settings.instance.zone == "12"
+    assert settings.instance.zone == "on"
     assert [seed.host for seed in settings.peers.seeds] == ["10.0.0.2", "::1"]
     described = {line.name: line for line in describe(settings)}
     port = described["listen.peer_port"]
