--- a/magnoliafork/admission/ramp.py
+++ b/magnoliafork/admission/ramp.py
@@ -4,8 +4,9 @@
 
 from magnoliafork.model.rules import ServiceRule
 
-# An upstream that was silent for longer may have restarted unnoticed.
-IDLE_SUSPICION_S = 2.0
+# An upstream without calls for longer may have restarted unnoticed; a process
+# takes at least this long to come back.
+IDLE_SUSPICION_S = 0.5
 # Late answers of an earlier process must not look like another restart.
 _REMEMBERED_BOOT_IDS = 16
 
--- a/magnoliafork/proxy/homes.py
+++ b/magnoliafork/proxy/homes.py
@@ -1,6 +1,7 @@
 """Asks other instances that may have been home of an idempotency key."""
 
 import asyncio
+import collections
 import dataclasses
 from collections.abc import Callable, Iterable
 
@@ -22,6 +23,8 @@
 # An asked instance whose own attempt was refused meanwhile is asked again.
 MAX_ROUNDS = 4
 
+_FenceResult = messages.StreamReply | LinkFailure
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Claim:
@@ -29,13 +32,16 @@
 
     Attributes:
         settled: What another instance did with the request, or None.
-        is_complete: Whether every possible home answered.
         handed_over: Instances that will not run the request any more.
+        restarted: Instances that will not run it either, but cannot tell
+            what their previous process did.
+        unreachable: Instances without a conclusive reply.
     """
 
-    settled: replies.Settled | None
-    is_complete: bool
+    settled: replies.Settled | None = None
     handed_over: frozenset[str] = frozenset()
+    restarted: frozenset[str] = frozenset()
+    unreachable: frozenset[str] = frozenset()
 
 
 class Homes:
@@ -85,15 +91,16 @@
         self, request_id: str, first: Iterable[str], deadline_s: float
     ) -> Claim:
         """Binds a request to this instance at the other possible homes."""
+        asked: collections.Counter[str] = collections.Counter()
         waiting = set(first)
-        rounds = dict.fromkeys(waiting, 1)
-        asking: dict[asyncio.Task[messages.StreamReply | LinkFailure], str]
-        asking = {}
+        asking: dict[asyncio.Task[_FenceResult], str] = {}
         handed_over: set[str] = set()
-        is_complete = True
+        restarted: set[str] = set()
+        unreachable: set[str] = set()
         try:
             while waiting or asking:
                 for other_id in waiting:
+                    asked[other_id] += 1
                     ask = self._ask(other_id, request_id, deadline_s)
                     asking[asyncio.create_task(ask)] = other_id
                 waiting = set()
@@ -105,31 +112,35 @@
                     reply = task.result()
                     settled = _settled_by(reply)
                     if settled is not None:
-                        return Claim(settled, True)
-                    if self._is_bound(reply):
+                        return Claim(settled)
+                    if self._is_handed_over(reply):
                         handed_over.add(other_id)
                         continue
+                    if _is_restarted(reply):
+                        restarted.add(other_id)
+                        continue
                     next_id = _next_to_ask(other_id, reply)
-                    count = rounds.get(next_id, 0) + 1
-                    if next_id in handed_over:
+                    if next_id in handed_over or next_id in restarted:
                         continue
-                    is_allowed = count <= MAX_ROUNDS and (
-                        len(rounds) < MAX_ASKED
-                    )
-                    if not next_id or not is_allowed:
-                        is_complete = False
+                    if next_id in asking.values() or next_id in waiting:
                         continue
-                    rounds[next_id] = count
-                    if next_id not in asking.values():
+                    if _may_ask(next_id, asked) and _is_reply(reply):
                         waiting.add(next_id)
+                    else:
+                        unreachable.add(next_id)
         finally:
             for task in asking:
                 task.cancel()
-        return Claim(None, is_complete, frozenset(handed_over))
+        return Claim(
+            None,
+            frozenset(handed_over),
+            frozenset(restarted),
+            frozenset(unreachable),
+        )
 
     async def _ask(
         self, other_id: str, request_id: str, deadline_s: float
-    ) -> messages.StreamReply | LinkFailure:
+    ) -> _FenceResult:
         return await self._peers.fence(
             other_id,
             request_id,
@@ -138,7 +149,7 @@
             self._instance.instance_id,
         )
 
-    def _is_bound(self, reply: messages.StreamReply | LinkFailure) -> bool:
+    def _is_handed_over(self, reply: _FenceResult) -> bool:
         if isinstance(reply, messages.CallFenceReply):
             return reply.state == messages.FenceState.NEVER_RAN
         if not isinstance(reply, messages.CallRefused):
@@ -154,7 +165,7 @@
 
 
 def _settled_by(
-    reply: messages.StreamReply | LinkFailure,
+    reply: _FenceResult,
 ) -> replies.Settled | None:
     """Returns what an asked instance did with the request, if it did."""
     if isinstance(reply, messages.CallAnswer):
@@ -168,12 +179,24 @@
     return replies.unknown(UnknownReason.ANSWER_FORGOTTEN)
 
 
-def _next_to_ask(
-    other_id: str, reply: messages.StreamReply | LinkFailure
-) -> str:
-    """Returns who may know more after an inconclusive reply, else empty."""
+def _is_restarted(reply: _FenceResult) -> bool:
+    if not isinstance(reply, messages.CallFenceReply):
+        return False
+    return reply.state == messages.FenceState.OTHER_INCARNATION
+
+
+def _is_reply(reply: _FenceResult) -> bool:
+    return not isinstance(reply, LinkFailure)
+
+
+def _may_ask(other_id: str, asked: collections.Counter[str]) -> bool:
+    return asked[other_id] < MAX_ROUNDS and asked.total() < MAX_ASKED
+
+
+def _next_to_ask(other_id: str, reply: _FenceResult) -> str:
+    """Returns who knows more after an inconclusive reply."""
     if not isinstance(reply, messages.CallRefused):
-        return ""
-    if reply.reason == NotRunReason.MOVED:
+        return other_id
+    if reply.reason == NotRunReason.MOVED and reply.moved_to:
         return reply.moved_to
     return other_id
--- a/magnoliafork/proxy/receiver.py
+++ b/magnoliafork/proxy/receiver.py
@@ -25,7 +25,7 @@
 from magnoliafork.model.rules import Priority, ServiceRule
 from magnoliafork.model.view import MembershipView, SnapshotView
 from magnoliafork.proxy import replies
-from magnoliafork.proxy.homes import POSSIBLE_HOME_S, Homes
+from magnoliafork.proxy.homes import POSSIBLE_HOME_S, Claim, Homes
 from magnoliafork.proxy.replies import Load, Settled
 from magnoliafork.proxy.slots import Slots, Ticket
 from magnoliafork.proxy.upstream import (
@@ -354,14 +354,18 @@
         """Returns whether a moved request may come back to this instance."""
         if entry.state is not EntryState.MOVED or entry.is_barred:
             return False
-        member = self._members.get(entry.moved_to)
-        snapshot = self._snapshots.current
-        if member is None or snapshot is None:
-            return True
-        rules = snapshot.rules
-        is_gone = member.state in (MemberState.LEAVING, MemberState.DEAD)
-        is_out = member.instance.zone in rules.zones_out
-        return is_gone or is_out or entry.moved_to in rules.drained
+        return not self._takes_new_work(entry.moved_to)
+
+    def _takes_new_work(self, other_id: str) -> bool:
+        """Returns whether senders may choose another instance."""
+        member = self._members.get(other_id)
+        if member is None:
+            return False
+        is_leaving = member.state in (MemberState.LEAVING, MemberState.DEAD)
+        reason = gate.refusal(
+            self._snapshots.current, member.instance, is_leaving, False
+        )
+        return reason is None
 
     def _start_job(
         self,
@@ -476,26 +480,40 @@
         )
         if job.moved_from:
             others.add(job.moved_from)
-        is_complete = not self._may_have_run_before()
+        claim = Claim()
         if others:
             self.counters.home_checks += 1
             claim = await self._homes.claim(
                 request.request_id, others, job.ticket.deadline_s
             )
-            if claim.settled is not None:
-                self._adopt(job, claim.settled)
-                return claim.settled
-            is_complete = is_complete and claim.is_complete
-            if job.moved_from in claim.handed_over:
-                job.moved_from = ""
+        if claim.settled is not None:
+            self._adopt(job, claim.settled)
+            return claim.settled
+        if job.moved_from in claim.handed_over:
+            job.moved_from = ""
+        settled = self._judge(job, claim)
+        if settled is not None:
+            self.counters.home_checks_incomplete += 1
+            self._forget(job)
+        return settled
+
+    def _judge(self, job: _Job, claim: Claim) -> Settled | None:
+        """Returns why a request must not run after asking, or None."""
+        request = job.request
+        is_unsure = claim.restarted or claim.unreachable
         # A request that was moved away from here has reached its new home, so
         # the caller's mark cannot vouch for that instance.
-        is_first = request.is_first_attempt and not job.moved_from
-        if is_complete or is_first:
+        if not request.is_first_attempt or job.moved_from:
+            if is_unsure or self._may_have_run_before():
+                return replies.unknown(UnknownReason.HOME_CHANGED)
             return None
-        self.counters.home_checks_incomplete += 1
-        self._forget(job)
-        return replies.unknown(UnknownReason.HOME_CHANGED)
+        # A home that is only unreachable from here would run the caller's
+        # next attempt without asking this instance.
+        for other_id in claim.unreachable:
+            is_above = self._homes.ranks_above(other_id, request.request_id)
+            if is_above and self._takes_new_work(other_id):
+                return replies.refused(NotRunReason.UNREACHABLE)
+        return None
 
     def _adopt(self, job: _Job, settled: Settled) -> None:
         """Keeps an answer that another instance gave for a request."""
--- a/magnoliafork/proxy/upstream.py
+++ b/magnoliafork/proxy/upstream.py
@@ -1,6 +1,7 @@
 """Calls to the upstream beside this node."""
 
 import dataclasses
+import re
 from types import SimpleNamespace
 from typing import Protocol
 
@@ -41,6 +42,10 @@
     }
 )
 _INTERNAL = frozenset({BOOT_ID_HEADER.lower(), NOT_RUN_HEADER.lower()})
+_TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_PATH = re.compile(r"/[!-~]*")
+# Surrogates stand for bytes that have no UTF-8 form.
+_HEADER_VALUE = re.compile(r"[\t -~\x80-\ud7ff\ue000-\U0010ffff]*")
 _BODILESS_STATUSES = frozenset({204, 304})
 
 
@@ -153,6 +158,8 @@
 
     async def send(self, request: UpstreamRequest) -> UpstreamResult:
         """Sends one request; see `Upstream`."""
+        if not _is_valid(request):
+            return _not_run(NotRunReason.BAD_REQUEST, "invalid characters")
         progress = _Progress(is_single=not request.repeatable)
         try:
             return await self._exchange(request, progress)
@@ -215,6 +222,22 @@
         )
 
 
+def _is_valid(request: UpstreamRequest) -> bool:
+    """Returns whether the request head can be written as it is.
+
+    aiohttp finds some faults only after it has connected, when a request can
+    no longer be told from one that was sent.
+    """
+    if not _TOKEN.fullmatch(request.method):
+        return False
+    if not _PATH.fullmatch(request.path):
+        return False
+    return all(
+        _TOKEN.fullmatch(name) and _HEADER_VALUE.fullmatch(value)
+        for name, value in request.headers
+    )
+
+
 def _session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
         connector=connector,
--- /dev/null
+++ b/magnoliafork/tests/admission/test_admission.py
@@ -0,0 +1,190 @@
+"""Tests of the pure admission tables."""
+
+import pytest
+
+from magnoliafork.admission.ledger import (
+    KEEP_MARKER_S,
+    KEEP_OUTCOME_S,
+    Entry,
+    EntryState,
+    Ledger,
+    request_digest,
+)
+from magnoliafork.admission.limiter import MIN_SHARE, Limiter
+from magnoliafork.admission.queue import AdmissionQueue, Waiting
+from magnoliafork.admission.ramp import Ramp
+from magnoliafork.model.request import Answered
+from magnoliafork.model.rules import Origin, Priority, ServiceRule
+
+DIGEST = request_digest("POST", "/a", b"body")
+
+
+def make_rule(slots: int = 10, connections: int = 100) -> ServiceRule:
+    return ServiceRule(
+        name="commissions",
+        slots=slots,
+        connections=connections,
+        queue=slots,
+        priority=Priority.NORMAL,
+        ramp_s=10.0,
+        ramp_start=1,
+        origin=Origin(1, "Marie"),
+    )
+
+
+def known(ledger: Ledger, request_id: str, now_s: float) -> Entry:
+    entry = ledger.get(request_id, now_s)
+    assert entry is not None
+    return entry
+
+
+def test_outcome_is_kept_and_then_only_the_fact() -> None:
+    # Guards against a second run of a repeat that comes late.
+    ledger = Ledger()
+    assert ledger.start("a", DIGEST, 0)
+    assert known(ledger, "a", 10_000).state is EntryState.RUNNING
+    ledger.finish("a", Answered(200, (), b"x"), 10_000)
+    kept = known(ledger, "a", 10_000 + KEEP_OUTCOME_S - 1)
+    assert kept.outcome == Answered(200, (), b"x")
+    late = known(ledger, "a", 10_000 + KEEP_OUTCOME_S)
+    assert (late.state, late.outcome) == (EntryState.FORGOTTEN, None)
+    assert late.digest == DIGEST
+    assert ledger.get("a", 10_000 + KEEP_MARKER_S) is None
+    assert (ledger.entry_count, ledger.used_bytes) == (0, 0)
+
+
+def test_full_ledger_refuses_and_never_drops_early() -> None:
+    # Guards against a repeat that runs because its entry gave way to a new
+    # one, and against a fence that cannot be kept.
+    ledger = Ledger(max_entries=16)
+    started = [n for n in range(20) if ledger.start(f"r{n}", DIGEST, 0)]
+    assert started == list(range(14))
+    for number in started:
+        ledger.finish(f"r{number}", Answered(200, (), b""), 1)
+    assert [ledger.refuse(f"f{n}", 1) for n in range(3)] == [True, True, False]
+    assert not ledger.move("m", "c-1", 1)
+    for number in started:
+        assert known(ledger, f"r{number}", 120).outcome is not None
+    assert ledger.start("r19", DIGEST, 1 + KEEP_OUTCOME_S)
+
+
+def test_answers_that_do_not_fit_are_forgotten_not_rerun() -> None:
+    # Guards the memory bound without giving up at-most-once.
+    ledger = Ledger(max_bytes=2000)
+    for name in ("a", "b"):
+        assert ledger.start(name, DIGEST, 0)
+        ledger.finish(name, Answered(200, (), bytes(1000)), 0)
+    assert known(ledger, "a", 1).state is EntryState.FINISHED
+    assert known(ledger, "b", 1).state is EntryState.FORGOTTEN
+    assert ledger.used_bytes <= 2000
+    while ledger.start(f"c{ledger.entry_count}", DIGEST, 1):
+        assert ledger.used_bytes <= 2000
+
+
+@pytest.mark.parametrize("late", [False, True])
+def test_known_requests_cannot_start_again(late: bool) -> None:
+    # Guards the rule itself, also for markers.
+    now_s = KEEP_OUTCOME_S + 1 if late else 1.0
+    ledger = Ledger()
+    ledger.start("ran", DIGEST, 0)
+    ledger.finish("ran", Answered(200, (), b""), 0)
+    ledger.refuse("refused", 0)
+    ledger.refuse("barred", 0)
+    ledger.move("barred", "c-1", 0)
+    for name in ("ran", "refused", "barred"):
+        with pytest.raises(AssertionError):
+            ledger.start(name, DIGEST, now_s)
+    with pytest.raises(AssertionError):
+        ledger.refuse("ran", now_s)
+    ledger.move("moved", "c-1", 0)
+    assert ledger.start("moved", DIGEST, now_s)
+
+
+def test_markers_are_bounded() -> None:
+    # Guards the memory bound of a busy node.
+    ledger = Ledger(max_markers=5)
+    for number in range(50):
+        ledger.refuse(f"r{number}", number)
+    kept = [n for n in range(50) if ledger.get(f"r{n}", KEEP_OUTCOME_S + 49)]
+    assert kept == [45, 46, 47, 48, 49]
+
+
+def test_ramp_grows_linearly_and_a_second_fall_restarts_it() -> None:
+    # Guards I4.
+    rule = make_rule()
+    ramp = Ramp(0)
+    assert [ramp.allowed(rule, t) for t in (0, 5, 9.9, 10)] == [1, 5, 9, 10]
+    ramp.on_answer("b1", 10)
+    assert ramp.on_answer("b2", 20)
+    assert ramp.allowed(rule, 26) == 6
+    ramp.on_refused(26)
+    assert [ramp.allowed(rule, t) for t in (26, 31, 36)] == [1, 5, 10]
+    assert not ramp.on_answer("b1", 40)
+    assert ramp.allowed(rule, 40) == 10
+
+
+def test_suspected_restart_ramps_until_the_boot_id_is_confirmed() -> None:
+    # Guards I4 against a restart between two answers.
+    rule = make_rule()
+    for suspect in (lambda ramp: ramp.on_broken(20), lambda ramp: None):
+        ramp = Ramp(0)
+        ramp.on_answer("b1", 15)
+        suspect(ramp)
+        ramp.on_send(0, 20)
+        assert ramp.allowed(rule, 20) == 1
+        ramp.on_answer("b1", 20.5)
+        assert ramp.allowed(rule, 20.5) == 10
+
+
+def test_first_request_after_an_idle_start_ramps() -> None:
+    # Guards I4 for an upstream that is younger than its node.
+    rule = make_rule()
+    ramp = Ramp(0)
+    ramp.on_send(0, 60)
+    ramp.on_answer("b1", 61)
+    ramp.on_answer("b1", 62)
+    assert [ramp.allowed(rule, t) for t in (62, 65, 70)] == [2, 5, 10]
+
+
+def test_limit_follows_latency_and_recovers() -> None:
+    # Guards against queueing in an upstream whose latency climbs, and
+    # against a limit that stays down.
+    rule = make_rule()
+    limiter = Limiter(0)
+    limits = []
+    for second in range(1, 121):
+        latency_s = 0.5 if 10 <= second < 30 else 0.05
+        for _ in range(rule.slots):
+            limiter.start()
+            limiter.on_latency(latency_s)
+        limiter.tick(rule, second)
+        for _ in range(rule.slots):
+            limiter.end()
+        limits.append(limiter.limit(rule, rule.slots))
+    assert limits[8] == 10
+    assert min(limits) == max(1, int(10 * MIN_SHARE + 0.5))
+    assert limits[-1] == 10
+
+
+def test_limit_is_capped_by_ramp_and_connections() -> None:
+    # Guards against more connections than the upstream accepts.
+    limiter = Limiter(0)
+    assert limiter.limit(make_rule(10, 4), 10) == 4
+    assert limiter.limit(make_rule(10), 3) == 3
+
+
+def test_queue_gives_way_by_priority_and_drops_hopeless_entries() -> None:
+    # Guards against unbounded waiting and against runs that end too late.
+    queue: AdmissionQueue[str] = AdmissionQueue()
+    assert queue.push(Waiting("low", Priority.LOW, 9), 2) == ()
+    assert queue.push(Waiting("late", Priority.HIGH, 2), 2) == ()
+    displaced = queue.push(Waiting("high", Priority.HIGH, 9), 2)
+    assert [waiting.item for waiting in displaced] == ["low"]
+    refused = queue.push(Waiting("more", Priority.LOW, 9), 2)
+    assert [waiting.item for waiting in refused] == ["more"]
+    expired = queue.expire(1.5, 0.5)
+    assert [waiting.item for waiting in expired] == ["late"]
+    served = queue.pop()
+    assert served is not None
+    assert served.item == "high"
+    assert queue.pop() is None
--- /dev/null
+++ b/magnoliafork/tests/proxy/test_receiver.py
@@ -0,0 +1,383 @@
+"""Tests of single rules of the receiver."""
+
+import asyncio
+from collections.abc import Awaitable
+
+import pytest
+
+from magnoliafork.balance.home import rank
+from magnoliafork.model.instance import MemberState
+from magnoliafork.model.request import NotRunReason, UnknownReason
+from magnoliafork.model.rules import Priority
+from magnoliafork.proxy.upstream import (
+    UpstreamAnswer,
+    UpstreamNotRun,
+    UpstreamResult,
+    UpstreamUnknown,
+)
+from magnoliafork.tests import virtual_time
+from magnoliafork.tests.proxy.test_receiver_fakes import (
+    FakePeers,
+    Node,
+    make_call,
+    make_fence,
+    make_instance,
+    make_node,
+    make_snapshot,
+)
+from magnoliafork.wire import messages
+from magnoliafork.wire.messages import CallAnswer, CallRefused, CallUnknown
+
+KEY = "key-1"
+IDS = [make_instance(number).instance_id for number in range(3)]
+# Numbers of the instances in the order of their rank for KEY.
+FIRST, SECOND, THIRD = (IDS.index(name) for name in rank(KEY, IDS))
+
+
+async def start(
+    call: Awaitable[messages.StreamReply],
+) -> asyncio.Future[messages.StreamReply]:
+    task = asyncio.ensure_future(call)
+    await asyncio.sleep(0.01)
+    return task
+
+
+def reason(reply: messages.StreamReply) -> str:
+    assert isinstance(reply, CallRefused | CallUnknown)
+    return reply.reason
+
+
+def test_new_work_is_refused_as_not_run() -> None:
+    # Guards I5 and I9: no state in which a closed instance takes work, also
+    # not from the queue.
+    async def main(node: Node, close: str) -> None:
+        first = await start(node.receiver.on_call("s", make_call("a")))
+        queued = await start(node.receiver.on_call("s", make_call("b")))
+        if close == "zone_out":
+            node.snapshots.current = make_snapshot(["joliette"], slots=1)
+        elif close == "drained":
+            node.snapshots.current = make_snapshot([], ["c-0"], slots=1)
+        elif close == "stale_view":
+            node.is_stale = True
+        else:
+            node.receiver.begin_stop()
+        node.receiver.tick(asyncio.get_running_loop().time())
+        assert reason(await queued) == close
+        for repeatable in (True, False):
+            call = make_call("c", repeatable=repeatable)
+            reply = await node.receiver.on_call("s", call)
+            assert reason(reply) == close
+        # The running request is not cut (I10), and its repeat still gets the
+        # answer, because "not run" would be false.
+        repeat = await node.receiver.on_call("s", make_call("a"))
+        assert isinstance(repeat, CallAnswer)
+        assert isinstance(await first, CallAnswer)
+        assert len(node.upstream.runs) == 1
+
+    async def all_states() -> None:
+        for close in ("zone_out", "drained", "stale_view", "leaving"):
+            await main(make_node(snapshot=make_snapshot(slots=1)), close)
+
+    virtual_time.run(all_states())
+
+
+def test_crossed_repeats_share_one_run_and_one_answer() -> None:
+    # Guards I8 when a caller repeats a key while the first call runs.
+    async def main() -> None:
+        node = make_node(FIRST)
+        call = make_call(KEY, keyed=True)
+        calls = [node.receiver.on_call("s", call) for _ in range(5)]
+        answers = await asyncio.gather(*calls)
+        await asyncio.sleep(119)
+        answers.append(await node.receiver.on_call("s", call))
+        assert {type(answer) for answer in answers} == {CallAnswer}
+        assert len(node.upstream.runs) == 1
+        await asyncio.sleep(5)
+        late = await node.receiver.on_call("s", call)
+        assert reason(late) == UnknownReason.ANSWER_FORGOTTEN
+        reused = make_call(KEY, keyed=True, body=b"other")
+        reply = await node.receiver.on_call("s", reused)
+        assert reason(reply) == NotRunReason.KEY_REUSED
+        assert len(node.upstream.runs) == 1
+
+    virtual_time.run(main())
+
+
+def test_cancelled_run_goes_on_and_queued_one_never_starts() -> None:
+    # Guards against a payment cut half way, and one that starts after its
+    # caller was told that it would not.
+    async def main() -> None:
+        node = make_node(snapshot=make_snapshot(slots=1))
+        running = await start(node.receiver.on_call("s", make_call("a")))
+        queued = await start(node.receiver.on_call("s", make_call("b")))
+        for task in (running, queued):
+            task.cancel()
+        await asyncio.sleep(1)
+        assert node.upstream.completed == 1
+        fenced = await node.receiver.on_fence("s", make_fence("a"))
+        assert isinstance(fenced, CallAnswer)
+        reply = await node.receiver.on_call("s", make_call("b"))
+        assert reason(reply) == NotRunReason.REFUSED_FOR_EVER
+        fence = await node.receiver.on_fence("s", make_fence("b"))
+        assert fence == messages.CallFenceReply(3, "never_ran")
+        assert len(node.upstream.runs) == 1
+
+    virtual_time.run(main())
+
+
+def test_cancelled_repeatable_call_cancels_the_upstream() -> None:
+    # Guards against work that nobody waits for, and a leaked slot.
+    async def main() -> None:
+        node = make_node()
+        call = make_call(repeatable=True)
+        running = await start(node.receiver.on_call("s", call))
+        running.cancel()
+        await asyncio.sleep(1)
+        assert node.upstream.completed == 0
+        assert node.receiver.active == 0
+
+    virtual_time.run(main())
+
+
+def test_deadline_holds_in_the_queue_and_at_the_upstream() -> None:
+    # Guards against answers after the deadline and against expired entries
+    # that run after a pause of the process.
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, virtual_time.VirtualTimeLoop)
+        node = make_node(snapshot=make_snapshot(slots=1), latency_s=5)
+        started_s = loop.time()
+        running = await start(
+            node.receiver.on_call("s", make_call("a", remaining_ms=300))
+        )
+        for name, repeatable in (("b", True), ("c", False)):
+            call = make_call(name, repeatable=repeatable, remaining_ms=200)
+            reply = await node.receiver.on_call("s", call)
+            assert reason(reply) == NotRunReason.DEADLINE
+        assert reason(await running) == UnknownReason.UPSTREAM_TIMEOUT
+        assert loop.time() - started_s < 0.5
+        paused = await start(
+            node.receiver.on_call("s", make_call("d", remaining_ms=9000))
+        )
+        loop.jump(20)
+        assert reason(await paused) == NotRunReason.DEADLINE
+        # The run outlives its deadline, so that a repeat gets the answer.
+        repeat = await node.receiver.on_call("s", make_call("a"))
+        assert isinstance(repeat, CallAnswer)
+        assert len(node.upstream.runs) == 1
+
+    virtual_time.run(main())
+
+
+def test_hanging_upstream_loses_the_run_after_the_grace_time() -> None:
+    # Guards against a slot that is never freed.
+    async def main() -> None:
+        node = make_node(latency_s=10_000)
+        await node.receiver.on_call("s", make_call())
+        assert node.receiver.active == 1
+        await asyncio.sleep(31)
+        assert node.receiver.active == 0
+        reply = await node.receiver.on_call("s", make_call())
+        assert reason(reply) == UnknownReason.UPSTREAM_TIMEOUT
+
+    virtual_time.run(main())
+
+
+def test_queue_is_bounded_and_serves_by_priority() -> None:
+    # Guards against unbounded waiting and against low classes that delay
+    # high ones.
+    async def main() -> None:
+        node = make_node(snapshot=make_snapshot(slots=1, queue=2))
+        calls = []
+        for name in ("low-1", "low-2", "low-3", "high"):
+            priority = Priority.HIGH if name == "high" else Priority.LOW
+            call = make_call(name, priority=priority)
+            calls.append(await start(node.receiver.on_call("s", call)))
+        replies = await asyncio.gather(*calls)
+        ran = [run.headers[0][1] for run in node.upstream.runs]
+        assert ran == ["low-1", "high", "low-2"]
+        assert reason(replies[2]) == NotRunReason.OVERLOADED
+
+    virtual_time.run(main())
+
+
+def test_upstream_outcomes_are_recorded() -> None:
+    # Guards against "not run" for a request that the upstream may have run,
+    # and against refusing a repeat of one that certainly did not.
+    async def main() -> None:
+        node = make_node()
+        broke = UpstreamUnknown(UnknownReason.UPSTREAM_BROKE, "")
+        node.upstream.answer = lambda request: broke
+        for _ in range(2):
+            reply = await node.receiver.on_call("s", make_call("a"))
+            assert reason(reply) == UnknownReason.UPSTREAM_BROKE
+        assert len(node.upstream.runs) == 1
+        shed = UpstreamNotRun(NotRunReason.UPSTREAM_REFUSED, 50, "b1", "")
+        node.upstream.answer = lambda request: shed
+        reply = await node.receiver.on_call("s", make_call("b"))
+        assert reason(reply) == NotRunReason.UPSTREAM_REFUSED
+        whole = UpstreamAnswer(200, (), b"ok", "b1")
+        node.upstream.answer = lambda request: whole
+        reply = await node.receiver.on_call("s", make_call("b"))
+        assert isinstance(reply, CallAnswer)
+
+    virtual_time.run(main())
+
+
+def test_boot_id_change_and_refused_connection_restart_the_ramp() -> None:
+    # Guards I4 after an upstream restart without warning.
+    async def main() -> None:
+        node = make_node(snapshot=make_snapshot(slots=9, ramp_s=10))
+        results: dict[str, UpstreamResult] = {
+            "a": UpstreamAnswer(200, (), b"", "b1"),
+            "b": UpstreamAnswer(200, (), b"", "b2"),
+            "c": UpstreamNotRun(NotRunReason.UNREACHABLE, 0, "", ""),
+        }
+        node.upstream.answer = lambda run: results[run.headers[0][1]]
+        for name in results:
+            await node.receiver.on_call("s", make_call(name))
+            assert node.receiver.limit == 1
+            await asyncio.sleep(5)
+            assert node.receiver.limit == 5
+            await asyncio.sleep(5)
+            assert node.receiver.limit == 9
+        assert node.receiver.counters.ramp_falls == 2
+
+    virtual_time.run(main())
+
+
+def test_fences() -> None:
+    # Guards the fence replies on which senders base "not run".
+    async def main() -> None:
+        node = make_node()
+        on_fence = node.receiver.on_fence
+        running = await start(node.receiver.on_call("s", make_call("a")))
+        assert isinstance(await on_fence("s", make_fence("a")), CallAnswer)
+        assert isinstance(await running, CallAnswer)
+        other = await on_fence("s", make_fence("b", incarnation=2))
+        assert other == messages.CallFenceReply(3, "other_incarnation")
+        never = await on_fence("s", make_fence("b"))
+        assert never == messages.CallFenceReply(3, "never_ran")
+        reply = await node.receiver.on_call("s", make_call("b"))
+        assert reason(reply) == NotRunReason.REFUSED_FOR_EVER
+        moved = await on_fence("p", make_fence("c", 0, "c-1"))
+        assert moved == messages.CallFenceReply(3, "never_ran")
+        reply = await node.receiver.on_call("s", make_call("c"))
+        assert isinstance(reply, CallRefused)
+        assert (reply.reason, reply.moved_to) == ("moved", "c-1")
+        assert len(node.upstream.runs) == 1
+
+    virtual_time.run(main())
+
+
+@pytest.mark.parametrize(
+    ("number", "first", "reachable", "state", "expected"),
+    [
+        (FIRST, False, False, MemberState.ALIVE, "answer"),
+        (SECOND, False, True, MemberState.ALIVE, "answer"),
+        (SECOND, False, False, MemberState.ALIVE, UnknownReason.HOME_CHANGED),
+        (SECOND, False, False, MemberState.DEAD, UnknownReason.HOME_CHANGED),
+        (SECOND, True, False, MemberState.ALIVE, NotRunReason.UNREACHABLE),
+        (SECOND, True, False, MemberState.DEAD, "answer"),
+        (SECOND, True, False, MemberState.LEAVING, "answer"),
+    ],
+)
+def test_second_home_runs_only_what_the_first_cannot_have_run(
+    number: int,
+    first: bool,
+    reachable: bool,
+    state: MemberState,
+    expected: str,
+) -> None:
+    # Guards I8 and I7 while nodes disagree about the home of a key.
+    async def main() -> None:
+        peers = FakePeers()
+        if reachable:
+            make_node(FIRST, peers=peers)
+        node = make_node(number, peers=peers)
+        if number != FIRST:
+            node.members.put(make_instance(FIRST), state=state)
+        call = make_call(KEY, keyed=True, first=first)
+        reply = await node.receiver.on_call("s", call)
+        if expected == "answer":
+            assert isinstance(reply, CallAnswer)
+        else:
+            assert reason(reply) == expected
+        assert len(node.upstream.runs) == (expected == "answer")
+        assert bool(peers.fences) == (number != FIRST)
+
+    virtual_time.run(main())
+
+
+def test_restarted_home_does_not_vouch_for_its_previous_process() -> None:
+    # Guards I8 when the home crashes after the run and comes back empty.
+    async def main() -> None:
+        peers = FakePeers()
+        home = make_node(FIRST, peers=peers, fresh=True)
+        others = [make_node(n, peers=peers) for n in (SECOND, THIRD)]
+        for node in (home, *others):
+            call = make_call(KEY, keyed=True)
+            reply = await node.receiver.on_call("s", call)
+            assert reason(reply) in (UnknownReason.HOME_CHANGED, "moved")
+            assert node.upstream.runs == []
+        first = make_call("key-2", keyed=True, first=True)
+        reply = await home.receiver.on_call("s", first)
+        assert isinstance(reply, CallAnswer)
+
+    virtual_time.run(main())
+
+
+def test_outcome_of_another_home_is_passed_on() -> None:
+    # Guards I8 when the first home drains while its run is in progress.
+    async def main() -> None:
+        peers = FakePeers()
+        old = make_node(FIRST, peers=peers)
+        new = make_node(SECOND, peers=peers)
+        call = make_call(KEY, keyed=True)
+        running = await start(old.receiver.on_call("s", call))
+        passed_on = await new.receiver.on_call("s", call)
+        assert isinstance(passed_on, CallAnswer)
+        assert isinstance(await running, CallAnswer)
+        assert len(old.upstream.runs) == 1
+        assert new.upstream.runs == []
+
+    virtual_time.run(main())
+
+
+def test_two_claims_at_once_do_not_wait_for_each_other() -> None:
+    # Guards against a deadlock until the deadline, and against two runs.
+    async def main() -> None:
+        peers = FakePeers()
+        nodes = [make_node(n, peers=peers) for n in range(3)]
+        loop = asyncio.get_running_loop()
+        for node in nodes:
+            for number in range(3):
+                node.members.put(make_instance(number))
+        call = make_call(KEY, keyed=True)
+        started_s = loop.time()
+        replies = await asyncio.gather(
+            *(node.receiver.on_call("s", call) for node in nodes)
+        )
+        assert loop.time() - started_s < 0.2
+        assert sum(len(node.upstream.runs) for node in nodes) == 1
+        assert isinstance(replies[FIRST], CallAnswer)
+
+    virtual_time.run(main())
+
+
+def test_planned_stop_waits_and_counts_what_it_cuts() -> None:
+    # Guards I10.
+    async def main() -> None:
+        node = make_node(latency_s=2)
+        call = make_call(remaining_ms=10_000)
+        running = await start(node.receiver.on_call("s", call))
+        node.receiver.begin_stop()
+        assert await node.receiver.drained(1) == 1
+        assert reason(await running) == UnknownReason.NO_REPLY
+        node = make_node(latency_s=2)
+        running = await start(node.receiver.on_call("s", call))
+        node.receiver.begin_stop()
+        assert await node.receiver.drained(30) == 0
+        assert isinstance(await running, CallAnswer)
+
+    virtual_time.run(main())
