--- a/magnoliafork/proxy/attempt.py
+++ b/magnoliafork/proxy/attempt.py
@@ -130,6 +130,21 @@
         finally:
             self._load.end(instance_id)
 
+    def lost_to_hedge(
+        self, state: CallState, instance_id: str, instance_count: int
+    ) -> None:
+        """Counts an attempt that a later copy overtook as a failure.
+
+        Its own call is cancelled and reports nothing, so that an instance
+        behind a silent link would never be ejected from hedged routes.
+        """
+        self._ejection.failed(
+            state.template.service_name,
+            instance_id,
+            instance_count,
+            self._clock(),
+        )
+
     async def _resolve(
         self, state: CallState, instance_id: str, failure: LinkFailure
     ) -> AttemptResult:
--- a/magnoliafork/proxy/ingress.py
+++ b/magnoliafork/proxy/ingress.py
@@ -9,21 +9,29 @@
 import logging
 import re
 import secrets
-from collections.abc import Iterator
 from typing import Any
 
 from aiohttp import hdrs, web
-from multidict import CIMultiDict
+from multidict import CIMultiDict, CIMultiDictProxy
 
 from magnoliafork.model.manifest import canonical_json
 from magnoliafork.model.request import (
     Answered,
-    Headers,
     NotRun,
     NotRunReason,
     OutcomeUnknown,
     UnknownReason,
 )
+from magnoliafork.proxy.headers import (
+    TRACE_HEADER,
+    end_to_end,
+    host_name,
+    is_encodable,
+    is_plain_path,
+    single_number,
+    split_target,
+    trace_context,
+)
 from magnoliafork.proxy.sender import Handled, IngressRequest, Sender
 
 DEADLINE_HEADER = "Magnolia-Deadline-Ms"
@@ -31,7 +39,6 @@
 KEY_HEADER = "Idempotency-Key"
 OUTCOME_HEADER = "Magnolia-Outcome"
 REQUEST_ID_HEADER = "Magnolia-Request-Id"
-TRACE_HEADER = "traceparent"
 
 OUTCOME_ANSWERED = "answered"
 OUTCOME_NOT_RUN = "not-run"
@@ -41,22 +48,6 @@
 MAX_KEY_CHARS = 255
 MIN_RETRY_AFTER_S = 1
 
-_HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "content-length",
-        "expect",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-_INTERNAL_PREFIXES = ("magnolia-", "upstream-")
 _STATUS_OF_REASON = {
     NotRunReason.NO_ROUTE: 404,
     NotRunReason.BAD_REQUEST: 400,
@@ -75,12 +66,6 @@
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
 )
 _KEY = re.compile(rf"[\x21-\x7e]{{1,{MAX_KEY_CHARS}}}")
-_NUMBER = re.compile(r"[0-9]{1,9}", re.ASCII)
-_TRACEPARENT = re.compile(
-    r"[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}", re.ASCII
-)
-_PORT = re.compile(r":[0-9]*$", re.ASCII)
-
 _INTERNAL_ERROR = 500
 _BACKLOG = 1024
 # Time to read the rest of a refused body, so that the answer is not lost to a
@@ -256,143 +241,59 @@
     request: web.BaseRequest, max_header_bytes: int
 ) -> IngressRequest | _Refusal:
     """Checks everything but the body of a request."""
-    path = _origin_form(request)
-    if path is None or not is_plain_path(path):
+    received = request.headers
+    parts = split_target(request.raw_path)
+    if parts is None or not is_plain_path(parts[1]):
+        return _bad_request()
+    authority, path = parts
+    host = host_name(received.get(hdrs.HOST, ""))
+    if authority and host_name(authority) != host:
         return _bad_request()
-    headers = request.headers
-    kept = _end_to_end(headers)
-    if sum([len(name) + len(value) for name, value in kept]) > max_header_bytes:
+    headers = end_to_end(received.items(), received.getall("Connection", ()))
+    if sum([len(name) + len(value) for name, value in headers]) > (
+        max_header_bytes
+    ):
         return _Refusal(_HEADERS_TOO_LARGE, NotRunReason.BAD_REQUEST)
-    if not _is_encodable(path, kept):
+    options = _options(received)
+    if options is None or not is_encodable(path, headers):
         return _bad_request()
-    deadline_ms: int | None = None
-    key = ""
-    is_first_attempt = False
-    if DEADLINE_HEADER in headers:
-        deadline_ms = _number(headers.getall(DEADLINE_HEADER))
-        if deadline_ms is None or deadline_ms > MAX_DEADLINE_MS:
-            return _bad_request()
-    if KEY_HEADER in headers:
-        keys = headers.getall(KEY_HEADER)
-        if len(keys) != 1 or not _KEY.fullmatch(keys[0]):
-            return _bad_request()
-        key = keys[0]
-    if ATTEMPT_HEADER in headers:
-        attempt = _number(headers.getall(ATTEMPT_HEADER))
-        if not attempt:
-            return _bad_request()
-        is_first_attempt = attempt == 1
-    traceparent = headers.get(TRACE_HEADER, "")
-    if traceparent and not _TRACEPARENT.fullmatch(traceparent):
-        traceparent = ""
     return IngressRequest(
         method=request.method,
-        host=host_name(headers.get(hdrs.HOST, "")),
+        host=host,
         path=path,
-        headers=kept,
-        deadline_ms=deadline_ms,
-        idempotency_key=key,
-        is_first_attempt=is_first_attempt,
-        traceparent=traceparent,
+        headers=headers,
+        deadline_ms=options.deadline_ms,
+        idempotency_key=options.key,
+        is_first_attempt=options.is_first_attempt,
+        traceparent=trace_context(received.get(TRACE_HEADER, "")),
     )
 
 
-def _origin_form(request: web.BaseRequest) -> str | None:
-    """Returns the path with its query as the caller wrote it."""
-    target = request.raw_path
-    if target.startswith("/"):
-        return target
-    if target.startswith("http://"):
-        rest = target[len("http://") :]
-        _, slash, path = rest.partition("/")
-        return slash + path if slash else "/"
-    return None
-
-
-def is_plain_path(target: str) -> bool:
-    """Tells whether a path means the same to every reader.
-
-    Dot segments are refused: an upstream that resolves them would see another
-    path than the one that chose the route and its repeatability.
-
-    >>> is_plain_path("/a/b.txt?x=../y"), is_plain_path("/a/%2e%2E/b")
-    (True, False)
-    """
-    if "#" in target:
-        return False
-    path = target.partition("?")[0]
-    if "%2" in path:
-        path = path.replace("%2e", ".").replace("%2E", ".")
-    if "/." not in path:
-        return True
-    return not any(part in (".", "..") for part in path.split("/"))
-
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Options:
+    """What a caller asks of the system itself."""
 
-def host_name(authority: str) -> str:
-    """Returns the host of a Host header in lower case without its port.
+    deadline_ms: int | None
+    key: str
+    is_first_attempt: bool
 
-    >>> host_name("Shop.Example:8080"), host_name("[::1]:80")
-    ('shop.example', '[::1]')
-    """
-    if ":" in authority:
-        authority = _PORT.sub("", authority)
-    return authority.lower()
 
-
-def _number(values: list[str]) -> int | None:
-    if len(values) != 1 or not _NUMBER.fullmatch(values[0]):
+def _options(received: CIMultiDictProxy[str]) -> _Options | None:
+    """Reads the documented headers; None if one of them is malformed."""
+    deadline_ms = None
+    if DEADLINE_HEADER in received:
+        deadline_ms = single_number(received.getall(DEADLINE_HEADER))
+        if deadline_ms is None or deadline_ms > MAX_DEADLINE_MS:
+            return None
+    keys = received.getall(KEY_HEADER, [])
+    if len(keys) > 1 or (keys and not _KEY.fullmatch(keys[0])):
         return None
-    return int(values[0])
-
-
-def _is_encodable(path: str, headers: Headers) -> bool:
-    """Tells whether the text fits into a frame.
-
-    The parser keeps bytes that are not UTF-8 as lone surrogates, which the
-    codec between nodes cannot encode.
-    """
-    text = "".join([path, *[name + value for name, value in headers]])
-    if text.isascii():
-        return True
-    try:
-        text.encode()
-    except UnicodeEncodeError:
-        return False
-    return True
-
-
-def _end_to_end(headers: Any) -> Headers:
-    """Returns the headers that go on to the upstream."""
-    named = _connection_options(headers.getall(hdrs.CONNECTION, ()))
-    return tuple(
-        [
-            (name, value)
-            for name, value in headers.items()
-            if _is_end_to_end(name.lower(), named)
-        ]
-    )
-
-
-def _is_end_to_end(name: str, named: frozenset[str]) -> bool:
-    return (
-        name not in _HOP_BY_HOP
-        and name != TRACE_HEADER
-        and not name.startswith(_INTERNAL_PREFIXES)
-        and name not in named
-    )
-
-
-def _connection_options(values: Any) -> frozenset[str]:
-    """Returns the header names that `Connection` declares hop-by-hop."""
-    if not values:
-        return frozenset()
-    return frozenset(
-        [
-            option.strip().lower()
-            for value in values
-            for option in value.split(",")
-        ]
-    )
+    attempt = None
+    if ATTEMPT_HEADER in received:
+        attempt = single_number(received.getall(ATTEMPT_HEADER))
+        if not attempt:
+            return None
+    return _Options(deadline_ms, keys[0] if keys else "", attempt == 1)
 
 
 def to_response(handled: Handled, method: str) -> web.Response:
@@ -463,26 +364,20 @@
 def _answer_response(
     request_id: str, answer: Answered, method: str
 ) -> web.Response:
-    headers = CIMultiDict(_answer_headers(answer, method))
+    connection = [
+        value for name, value in answer.headers if name.lower() == "connection"
+    ]
+    headers = CIMultiDict(end_to_end(answer.headers, connection))
     headers[OUTCOME_HEADER] = OUTCOME_ANSWERED
     headers[REQUEST_ID_HEADER] = request_id
+    if method == hdrs.METH_HEAD and not answer.body:
+        # The length of a body that is not sent is the upstream's to tell.
+        for name, value in answer.headers:
+            if name.lower() == "content-length":
+                headers[hdrs.CONTENT_LENGTH] = value
     return web.Response(status=answer.status, body=answer.body, headers=headers)
 
 
-def _answer_headers(answer: Answered, method: str) -> Iterator[tuple[str, str]]:
-    named = _connection_options(
-        [v for n, v in answer.headers if n.lower() == "connection"]
-    )
-    # The length of a body that is not sent is the upstream's to tell.
-    keeps_length = method == hdrs.METH_HEAD and not answer.body
-    for name, value in answer.headers:
-        lowered = name.lower()
-        if _is_end_to_end(lowered, named) or (
-            keeps_length and lowered == "content-length"
-        ):
-            yield name, value
-
-
 class _RefuseConnection(asyncio.Protocol):
     """Answers a connection above the cap and closes it."""
 
--- a/magnoliafork/proxy/sender.py
+++ b/magnoliafork/proxy/sender.py
@@ -2,11 +2,9 @@
 
 import asyncio
 import dataclasses
-import hashlib
 import random
 import time
-from collections.abc import Callable, Iterable
-from typing import Protocol
+from collections.abc import Callable
 
 from magnoliafork.balance import home
 from magnoliafork.balance.candidates import CandidateIndex, Candidates
@@ -33,6 +31,14 @@
     CallState,
     Moved,
 )
+from magnoliafork.proxy.routing import (
+    REQUEST_ID_BITS,
+    REQUEST_ID_DIGITS,
+    RouteMatcher,
+    key_fraction,
+    keyed_request_id,
+    pick_weighted,
+)
 from magnoliafork.wire import messages
 from magnoliafork.wire.api import PeerCalls
 
@@ -42,8 +48,6 @@
 NOT_RUN_RETRIES = 2
 # Pause before a home that could not be reached is tried again.
 HOME_BACK_OFF_S = 0.05
-REQUEST_ID_BITS = 128
-_REQUEST_ID_DIGITS = REQUEST_ID_BITS // 4
 
 # Reasons that hold at every instance, so that a retry cannot help.
 _FINAL_REASONS = frozenset(
@@ -57,14 +61,6 @@
 )
 
 
-class RouteMatcher(Protocol):
-    """Finds the route of a request."""
-
-    def match(self, method: str, host: str, path: str) -> RouteRule | None:
-        """Returns the most specific route, or None if there is none."""
-        ...
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class IngressRequest:
     """A caller's request as the ingress accepted it.
@@ -317,7 +313,7 @@
 
     def _new_request_id(self) -> str:
         bits = self._rng.getrandbits(REQUEST_ID_BITS)
-        return f"{bits:0{_REQUEST_ID_DIGITS}x}"
+        return f"{bits:0{REQUEST_ID_DIGITS}x}"
 
     async def _run_tracked(self, run: _Run) -> Outcome:
         self.counters.in_flight += 1
@@ -441,7 +437,10 @@
                 second = self._start_hedge(run)
                 if second is not None:
                     tasks.append(second)
-            return await _first_answer(run, tasks)
+            result = await _first_answer(run, tasks)
+            if isinstance(result, Answered) and not first.done():
+                self._attempts.lost_to_hedge(run.call, instance_id, count)
+            return result
         finally:
             for task in tasks:
                 task.cancel()
@@ -553,37 +552,3 @@
     if worst is None:
         raise AssertionError("no attempt was started")
     return worst
-
-
-def keyed_request_id(service: str, key: str) -> str:
-    """Derives the 128-bit request id of a caller's key.
-
-    >>> keyed_request_id("a", "k") == keyed_request_id("b", "k")
-    False
-    >>> len(keyed_request_id("a", "k"))
-    32
-    """
-    digest = hashlib.sha256(f"{service}\0{key}".encode())
-    return digest.hexdigest()[:_REQUEST_ID_DIGITS]
-
-
-def key_fraction(key: str) -> float:
-    """Maps a key evenly to a number from 0 up to but not including 1."""
-    digest = hashlib.sha256(key.encode()).digest()
-    return int.from_bytes(digest[:6], "big") / 2**48
-
-
-def pick_weighted(targets: Iterable[WeightedTarget], fraction: float) -> str:
-    """Picks a service by its share of the weights.
-
-    >>> targets = (WeightedTarget("a", 90), WeightedTarget("b", 10))
-    >>> pick_weighted(targets, 0.89), pick_weighted(targets, 0.91)
-    ('a', 'b')
-    """
-    ordered = tuple(targets)
-    point = fraction * sum(target.weight for target in ordered)
-    for target in ordered:
-        point -= target.weight
-        if point < 0:
-            return target.service
-    return ordered[-1].service
--- a/magnoliafork/tests/proxy/test_sender_cases.py
+++ b/magnoliafork/tests/proxy/test_sender_cases.py
@@ -17,7 +17,7 @@
     UnknownReason,
 )
 from magnoliafork.model.rules import WeightedTarget
-from magnoliafork.proxy.sender import keyed_request_id
+from magnoliafork.proxy.routing import keyed_request_id
 from magnoliafork.tests import virtual_time
 from magnoliafork.tests.proxy.test_sender_fleet import (
     Fleet,
