--- a/magnoliafork/standins/upstream_server.py
+++ b/magnoliafork/standins/upstream_server.py
@@ -171,7 +171,11 @@
             return self._shed("connections")
         if self._listener.is_first_request(request):
             await asyncio.sleep(self.behaviour.connection_cost_s)
-        response = await handler(request)
+        try:
+            response = await handler(request)
+        except web.HTTPException as error:
+            error.headers[BOOT_ID_HEADER] = self._boot_id
+            raise
         response.headers[BOOT_ID_HEADER] = self._boot_id
         return response
 
--- a/magnoliafork/tests/commands/test_cli.py
+++ b/magnoliafork/tests/commands/test_cli.py
@@ -1,6 +1,8 @@
 """The magnolia command must exit with the documented codes."""
 
 import asyncio
+import contextlib
+import io
 import json
 import pathlib
 import socket
@@ -11,6 +13,8 @@
 from typer.testing import CliRunner, Result
 
 from magnoliafork.cli import app
+from magnoliafork.commands import node
+from magnoliafork.commands.admin_client import AdminTarget
 from magnoliafork.tests.observe.nodes import TOKEN, FakeNode, admin_of
 
 
@@ -139,6 +143,29 @@
     assert "is not an admin listener" in result.stderr
 
 
+def test_watch_goes_on_while_the_node_is_away(
+    running: RunningNode, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a watch that ends when the node restarts."""
+    monkeypatch.setattr(node, "WATCH_INTERVAL_S", 0.01)
+
+    async def watch_s(url: str, seconds: float) -> tuple[str, str]:
+        output, errors = io.StringIO(), io.StringIO()
+        watch = node.watch_status(
+            AdminTarget(url), output, errors, as_json=False
+        )
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(watch, seconds)
+        return output.getvalue(), errors.getvalue()
+
+    url = f"http://127.0.0.1:{running.port}"
+    output, errors = asyncio.run(watch_s(url, 0.5))
+    assert output.count("state      ready") >= 2
+    assert errors == ""
+    output, errors = asyncio.run(watch_s("http://127.0.0.1:1", 0.5))
+    assert errors.count("no node answers") >= 2
+
+
 def test_missing_address_is_wrong_usage() -> None:
     """Guards against a command that silently asks another node."""
     result = magnolia("status")
--- a/magnoliafork/tests/standins/test_upstream_server.py
+++ b/magnoliafork/tests/standins/test_upstream_server.py
@@ -8,7 +8,11 @@
 import pytest
 
 from magnoliafork.standins.upstream_model import RunEnd, UpstreamBehaviour
-from magnoliafork.standins.upstream_server import UpstreamServer, is_answer_to
+from magnoliafork.standins.upstream_server import (
+    MAX_BODY_BYTES,
+    UpstreamServer,
+    is_answer_to,
+)
 
 Scenario = Callable[[UpstreamServer, aiohttp.ClientSession], Awaitable[None]]
 
@@ -58,6 +62,10 @@
         assert not is_answer_to(content, b"body", "k2")
         assert not is_answer_to(content[:-1], b"body", "k1")
         await _post(session, key="k1")
+        too_large = b"x" * (MAX_BODY_BYTES + 1)
+        async with session.post("/x", data=too_large) as refused:
+            assert refused.status == 413
+            assert refused.headers["Upstream-Boot-Id"] == server.boot_id
         assert len(server.runs_by_key()["k1"]) == 2
 
     run(UpstreamBehaviour(answer_padding_bytes=100_000), scenario)
