--- a/magnoliafork/commands/node.py
+++ b/magnoliafork/commands/node.py
@@ -108,7 +108,9 @@
         ("rejected", f"{_version(r.version)}: {'; '.join(r.errors)}")
         for r in status.rejected
     ]
-    members = [f"{count} {state}" for state, count in status.members.items()]
+    members = [
+        f"{count} {state.lower()}" for state, count in status.members.items()
+    ]
     rows += [
         ("members", ", ".join(members) or "-"),
         ("zones out", ", ".join(status.zones_out) or "-"),
--- a/magnoliafork/observe/render.py
+++ b/magnoliafork/observe/render.py
@@ -96,7 +96,7 @@
             f"{PREFIX}members", "Members by state.", labels=["state"]
         )
         for state, count in sorted(self._status.members.items()):
-            members.add_metric([state], count)
+            members.add_metric([state.lower()], count)
         yield members
         zones = GaugeMetricFamily(
             f"{PREFIX}zone_out", "Zones without new work.", labels=["zone"]
--- a/magnoliafork/settings/model.py
+++ b/magnoliafork/settings/model.py
@@ -40,6 +40,14 @@
     return text.rstrip("/")
 
 
+def _check_upstream_url(text: str) -> str:
+    # The node passes the caller's path on as it is and speaks plain HTTP.
+    parts = urllib.parse.urlsplit(text)
+    if parts.scheme != "http" or parts.path:
+        raise _error("must be an http:// URL without a path")
+    return text
+
+
 def _error(message: str) -> PydanticCustomError:
     escaped = message.replace("{", "{{").replace("}", "}}")
     return PydanticCustomError("setting", escaped)
@@ -48,6 +56,8 @@
 IpAddress = Annotated[str, pydantic.AfterValidator(_check_ip_address)]
 HttpUrl = Annotated[str, pydantic.AfterValidator(_check_http_url)]
 
+UpstreamUrl = Annotated[HttpUrl, pydantic.AfterValidator(_check_upstream_url)]
+
 
 class Section(pydantic.BaseModel):
     """Base of all sections: immutable, without unknown keys."""
@@ -96,7 +106,7 @@
 class UpstreamSettings(Section):
     """The upstream beside the node."""
 
-    url: HttpUrl
+    url: UpstreamUrl
 
 
 class SourceSettings(Section):
@@ -158,8 +168,6 @@
         MAX_BODY_BYTES
     )
     ingress_connections: Annotated[int, pydantic.Field(ge=1, le=65536)] = 1024
-    peer_links: Annotated[int, pydantic.Field(ge=1, le=1024)] = 64
-    transfers: Annotated[int, pydantic.Field(ge=1, le=64)] = 2
 
 
 class TimeoutSettings(Section):
@@ -167,10 +175,7 @@
 
     join_timeout_s: Seconds = 5.0
     stop_timeout_s: Seconds = 30.0
-    peer_connect_timeout_s: Seconds = 1.0
-    upstream_connect_timeout_s: Seconds = 1.0
     source_timeout_s: Seconds = 2.0
-    source_watch_wait_s: Seconds = 30.0
 
 
 class TlsSettings(Section):
--- a/magnoliafork/tests/commands/test_settings_commands.py
+++ b/magnoliafork/tests/commands/test_settings_commands.py
@@ -54,5 +54,5 @@
         "environment",
         "MAGNOLIA_LOGS__LEVEL",
     ]
-    assert lines["limits.transfers"] == ["2", "default"]
+    assert lines["timeouts.stop_timeout_s"] == ["30.0", "default"]
     assert "0123456789abcdef" not in output.getvalue()
--- a/magnoliafork/tests/observe/nodes.py
+++ b/magnoliafork/tests/observe/nodes.py
@@ -62,7 +62,7 @@
             is_leaving=self.drains > 0,
             version=VERSION,
             rejected=(RejectedVersion(Version(8, "cd" * 32), ("bad zone",)),),
-            members={"alive": 3, "dead": 1},
+            members={"ALIVE": 3, "DEAD": 1},
             zones_out=("rawdon",),
             leaving=("a-2",),
             active=4,
--- a/magnoliafork/tests/observe/test_admin.py
+++ b/magnoliafork/tests/observe/test_admin.py
@@ -67,7 +67,7 @@
         status = json.loads((await get(session, "/status"))[1])
         assert status["version"]["number"] == 7
         assert status["rejected"][0]["errors"] == ["bad zone"]
-        assert status["members"] == {"alive": 3, "dead": 1}
+        assert status["members"] == {"ALIVE": 3, "DEAD": 1}
         (entry,) = json.loads((await get(session, "/history"))[1])
         assert entry["event"] == "config_applied"
         routes = json.loads((await get(session, "/routes"))[1])["routes"]
--- a/magnoliafork/tests/observe/test_metrics.py
+++ b/magnoliafork/tests/observe/test_metrics.py
@@ -119,7 +119,7 @@
     metrics.count(CounterName.REQUESTS_NOT_RUN, "overloaded")
     metrics.record_call("orders", 0.002)
     status = NodeStatus(
-        INSTANCE, is_ready=True, members={"alive": 4}, zones_out=("z2",)
+        INSTANCE, is_ready=True, members={"ALIVE": 4}, zones_out=("z2",)
     )
     samples = samples_of(metrics, status)
     assert samples["magnolia_retries_total",] == 3
--- a/magnoliafork/tests/settings/test_settings.py
+++ b/magnoliafork/tests/settings/test_settings.py
@@ -114,6 +114,10 @@
             MINIMAL + "tls: {mode: mutual, ca_file: x}",
             "line 5, column 6: tls: mode mutual needs cert_file, key_file",
         ),
+        (
+            MINIMAL.replace("5000", "5000/api"),
+            "line 3, column 17: upstream.url: must be an http:// URL without",
+        ),
         (MINIMAL + "0: 1", "line 5, column 1: 0:"),
         (MINIMAL + "traces: {sampling_ratio: .nan}", "line 5, column 26:"),
     ],
