--- /dev/null
+++ b/magnoliafork/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the whole system on one machine with small stand-ins."""
--- /dev/null
+++ b/magnoliafork/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of magnoliafork.bench."""
