--- a/magnoliafork/tests/rules/test_build.py
+++ b/magnoliafork/tests/rules/test_build.py
@@ -81,11 +81,11 @@
     text = (
         "zone joliette\n"
         "servce wool slots=3 connections=9 # Ops\n"
-        "service patterns slots=x conections=9 # Ops\n"
+        "service patterns slots=x conections=9 ramp-start=5 # Ops\n"
         "service dyes slots=0 connections=9 queue=1 queue=2 # Ops\n"
         "service loom slots=10 connections=9 # Ops\n"
-        "route GET * /p -> paterns:5 loom:x priority=hi # Marie\n"
-        "route GET * /q -> lom wool retries=11 # Marie\n"
+        "route GET * /p -> paterns:5 loom:x hedge=2s deadline=3 # Marie\n"
+        "route GET * /q -> lom wool retries=11 priority=hi # Marie\n"
         "route PST * p => loom # Marie\n"
         "route GET * /q -> loom # Marie\n"
     )
@@ -94,15 +94,16 @@
         (2, 1, "unknown rule 'servce'", "service"),
         (3, 24, "bad value 'x' for slots", ""),
         (3, 26, "unknown setting 'conections'", "connections"),
-        (3, 38, "connections is missing", ""),
+        (3, 51, "connections is missing", ""),
         (4, 20, "slots 0 is out of range", ""),
         (4, 44, "queue is repeated", ""),
         (5, 35, "9 connections for 10 slots", ""),
         (6, 19, "unknown service 'paterns'", "patterns"),
         (6, 29, "bad weight 'x'", ""),
-        (6, 45, "bad value 'hi' for priority", "high"),
+        (6, 54, "bad value '3' for deadline", ""),
         (7, 19, "unknown service 'lom'", "loom"),
         (7, 36, "retries 11 is out of range", ""),
+        (7, 48, "bad value 'hi' for priority", "high"),
         (8, 15, "unexpected '=>'", ""),
         (9, 13, "route 'GET * /q' is already defined on line 7", ""),
     ]
