--- a/magnoliafork/rules/parser.py
+++ b/magnoliafork/rules/parser.py
@@ -54,7 +54,7 @@
 
     Attributes:
         file: The rules of all lines that could be read; values with an
-            error have a stand-in.
+            error have a placeholder.
         errors: Syntax errors.
         unread_names: Names that the other lines may define.
     """
@@ -164,7 +164,7 @@
         origin = parser.origin()
         if name is None:
             return False
-        # Stand-ins for values that were reported already, chosen so that
+        # Placeholders for values that were reported already, chosen so that
         # the checks of the other values find nothing wrong because of them.
         connections = settings.get("connections", limits.MAX_CONNECTIONS)
         any_slots = max(1, min(connections, limits.MAX_SLOTS))
