--- a/magnoliafork/tests/snapshot/test_assemble.py
+++ b/magnoliafork/tests/snapshot/test_assemble.py
@@ -35,6 +35,7 @@
 )
 
 BUILT = build_text(EXAMPLE)
+CONTENTS = {ref.name: BUILT.parts[ref.digest] for ref in BUILT.manifest.parts}
 
 
 def _replace_part(
@@ -48,11 +49,6 @@
     return manifest, {**BUILT.parts, ref.digest: content}
 
 
-def _content(name: str) -> bytes:
-    [ref] = [part for part in BUILT.manifest.parts if part.name == name]
-    return BUILT.parts[ref.digest]
-
-
 @hypothesis.settings(max_examples=500, derandomize=True, deadline=None)
 @hypothesis.given(document=DOCUMENTS)
 def test_build_and_assemble_agree(document: RuleDocument) -> None:
@@ -113,14 +109,14 @@
     ]
 
 
-_SERVICE = json.loads(_content("service/patterns"))
+_SERVICE = json.loads(CONTENTS["service/patterns"])
 
 
 @pytest.mark.parametrize(
     ("name", "content"),
     [
-        ("service/patterns", _content("service/patterns") + b"\n"),
-        ("service/patterns", b'{"slots":1,' + _content("service/patterns")[1:]),
+        ("service/patterns", CONTENTS["service/patterns"] + b"\n"),
+        ("service/patterns", b'{"slots":1,' + CONTENTS["service/patterns"][1:]),
         ("service/patterns", canonical_json({**_SERVICE, "slots": 8.0})),
         ("service/patterns", canonical_json({**_SERVICE, "slots": True})),
         ("service/patterns", canonical_json({**_SERVICE, "slots": "8"})),
@@ -131,10 +127,10 @@
         ("service/patterns", b'{"name":"\\ud800"}'),
         ("service/patterns", b"[" * 100_000),
         ("service/patterns", b"\xff"),
-        ("service/other", _content("service/patterns")),
-        ("service/../x", _content("service/patterns")),
+        ("service/other", CONTENTS["service/patterns"]),
+        ("service/../x", CONTENTS["service/patterns"]),
         ("routes/commissions", b'{"routes":[]}'),
-        ("routes/commissions", _content("routes/patterns")),
+        ("routes/commissions", CONTENTS["routes/patterns"]),
         ("operations", b'{"drains":[],"zones":null}'),
     ],
 )
