--- /dev/null
+++ b/magnoliafork/tests/cluster/test_cluster.py
@@ -0,0 +1,272 @@
+"""Up to a dozen nodes in memory under the faults of the design page."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from magnoliafork.model.manifest import sha256_hex
+from magnoliafork.model.version import Version
+from magnoliafork.source.api import MANIFEST_KEY, part_key
+from magnoliafork.tests import virtual_time
+from magnoliafork.tests.cluster.checker import problems
+from magnoliafork.tests.cluster.fakes import FakeNetwork, contents_of
+
+# Promise of the design page: in force everywhere within 16 s.
+CONVERGENCE_S = 16.0
+CONTROL_BYTES_PER_S = 3_000
+Scenario = Callable[[FakeNetwork], Awaitable[Version]]
+SEEDS = pytest.mark.parametrize("seed", [1, 2, 3])
+
+
+def run(scenario: Scenario, count: int = 12, seed: int = 1) -> None:
+    """Runs a scenario; its version must be in force at the latest then."""
+
+    async def main() -> None:
+        network = FakeNetwork(count, seed)
+        network.source.publish(1)
+        network.start_missing()
+        await asyncio.sleep(CONVERGENCE_S)
+        assert all(node.is_joined for node in network.nodes.values())
+        expected = await scenario(network)
+        await asyncio.sleep(CONVERGENCE_S)
+        assert problems(network, expected) == []
+        everyone_alive = [{"ALIVE"}] * (count if count > 1 else 0)
+        if len(network.nodes) == count:
+            states = [network.states(one) for one in network.ids]
+            assert states[: len(everyone_alive)] == everyone_alive
+        await network.kill_all()
+
+    virtual_time.run(main())
+
+
+async def first_to_change(network: FakeNetwork) -> None:
+    while len(network.versions()) == 1:
+        await asyncio.sleep(0.001)
+
+
+@pytest.mark.parametrize("count", [1, 12])
+def test_a_torn_publication_waits_until_it_is_complete(count: int) -> None:
+    # Guards against a version in force with a missing or wrong part (I3).
+    async def scenario(network: FakeNetwork) -> Version:
+        contents = contents_of(2) | {"service/b": b"[1]"}
+        version = network.source.publish(2, contents, missing="service/b")
+        await asyncio.sleep(30)
+        key = part_key(sha256_hex(b"[1]"))
+        network.source.put(key, b"[2]")
+        await asyncio.sleep(30)
+        assert {one.number for one in network.versions()} == {1}
+        network.source.put(key, b"[1]")
+        return version
+
+    run(scenario, count)
+
+
+@pytest.mark.parametrize("count", [1, 12])
+def test_a_stale_flapping_source_takes_nothing_back(count: int) -> None:
+    # Guards against a lower version from an old replica (I1).
+    async def scenario(network: FakeNetwork) -> Version:
+        source = network.source
+        old = dict(source.values)
+        source.publish(5)
+        for second in range(60):
+            await asyncio.sleep(1)
+            source.frozen = old if second % 2 else None
+            source.is_down = second % 3 == 0
+        source.is_down, source.frozen = False, None
+        return source.publish(6)
+
+    run(scenario, count)
+
+
+def test_an_hour_without_the_source_costs_few_reads() -> None:
+    # Guards against a node that is stuck, or storms, after a long outage.
+    async def scenario(network: FakeNetwork) -> Version:
+        network.source.is_down = True
+        await asyncio.sleep(3600)
+        # Mean delays are 4 s for the manifest and 30 s for the list.
+        assert network.nodes[network.ids[0]].reader.counters.reads < 1200
+        network.source.is_down = False
+        return network.source.publish(2)
+
+    run(scenario, 1)
+
+
+def test_a_change_reaches_all_nodes_while_the_source_fails() -> None:
+    # Guards against versions that need the source on every node (I11).
+    async def scenario(network: FakeNetwork) -> Version:
+        version = network.source.publish(2)
+        await first_to_change(network)
+        network.source.is_down = True
+        return version
+
+    run(scenario)
+
+
+def test_a_bad_manifest_is_reported_once_and_passed_over() -> None:
+    # Guards against a reader that stops, or reports the same at each read.
+    async def scenario(network: FakeNetwork) -> Version:
+        network.source.put(MANIFEST_KEY, b"{")
+        await asyncio.sleep(300)
+        counters = network.nodes[network.ids[0]].reader.counters
+        assert counters.bad_manifests == 1
+        return network.source.publish(2)
+
+    run(scenario, 1)
+
+
+@pytest.mark.parametrize("number_of_first", [2, 3])
+def test_two_contents_of_one_version_end_as_one(number_of_first: int) -> None:
+    # Guards against a fleet that is split when a number is used twice.
+    async def scenario(network: FakeNetwork) -> Version:
+        network.side = dict.fromkeys(network.ids[:6], 1)
+        first = network.source.publish(2, contents_of(number_of_first))
+        await first_to_change(network)
+        second = network.source.publish(2, contents_of(5 - number_of_first))
+        await asyncio.sleep(30)
+        network.side = {}
+        await asyncio.sleep(CONVERGENCE_S)
+        return max(first, second)
+
+    run(scenario)
+
+
+@SEEDS
+def test_lost_doubled_and_crossed_messages_are_repaired(seed: int) -> None:
+    # Guards against a node that misses a version or a member for good.
+    async def scenario(network: FakeNetwork) -> Version:
+        network.loss, network.duplication, network.crossing = 0.2, 0.2, 0.3
+        for number in range(2, 12):
+            version = network.source.publish(number)
+            await asyncio.sleep(2)
+        network.source.is_down = True
+        network.loss = network.duplication = network.crossing = 0.0
+        return version
+
+    run(scenario, seed=seed)
+
+
+def test_a_node_paused_over_ten_versions_catches_up() -> None:
+    # Guards against a resumed node that acts on its old view.
+    async def scenario(network: FakeNetwork) -> Version:
+        node = network.nodes[network.ids[0]]
+        node.is_paused = True
+        for number in range(2, 12):
+            version = network.source.publish(number)
+            await asyncio.sleep(3)
+        assert network.states(node.id) == {"DEAD"}
+        incarnation = node.control.incarnation
+        node.resume()
+        assert node.control.is_view_stale
+        await asyncio.sleep(CONVERGENCE_S)
+        assert not node.control.is_view_stale
+        assert node.control.incarnation > incarnation
+        return version
+
+    run(scenario)
+
+
+@SEEDS
+def test_a_partition_heals(seed: int) -> None:
+    # Guards against halves that never meet again after declaring each other
+    # dead.
+    async def scenario(network: FakeNetwork) -> Version:
+        network.side = dict.fromkeys(network.ids[::2], 1)
+        await asyncio.sleep(600)
+        assert network.states(network.ids[0]) == {"ALIVE", "DEAD"}
+        version = network.source.publish(2)
+        await first_to_change(network)
+        # Only one side may have the version when the source fails.
+        network.source.is_down = True
+        network.side = {}
+        return version
+
+    run(scenario, seed=seed)
+
+
+def test_a_cut_off_node_and_a_broken_path_accuse_nobody() -> None:
+    # Guards against live instances that are taken out by one bad observer.
+    async def scenario(network: FakeNetwork) -> Version:
+        lonely, *others = network.ids
+        network.side = {lonely: 1}
+        network.blocked = {
+            frozenset((others[0], peer))
+            for peer in network.nodes[others[0]].neighbours()[:2]
+        }
+        await asyncio.sleep(60)
+        assert network.states(lonely) == {"DEAD"}
+        table = network.nodes[lonely].control.table
+        assert {member.state.name for member in table} == {"ALIVE"}
+        assert all(network.states(one) == {"ALIVE"} for one in others)
+        network.side = {}
+        await asyncio.sleep(CONVERGENCE_S)
+        return network.source.publish(2)
+
+    run(scenario)
+
+
+@SEEDS
+def test_all_nodes_restart_at_once(seed: int) -> None:
+    # Guards against a storm on the source (the checker looks at every
+    # second) and a fleet that never joins again.
+    async def scenario(network: FakeNetwork) -> Version:
+        for number in (2, 3, 4):
+            version = network.source.publish(number)
+            await network.kill_all()
+            await asyncio.sleep(1.5)
+            network.start_missing()
+            await asyncio.sleep(CONVERGENCE_S)
+            assert all(node.is_joined for node in network.nodes.values())
+        return version
+
+    run(scenario, seed=seed)
+
+
+def test_a_restart_with_a_stale_source_waits_for_newer_peers() -> None:
+    # Guards against a restarted node that serves an older version (I11).
+    async def scenario(network: FakeNetwork) -> Version:
+        old = dict(network.source.values)
+        version = network.source.publish(2)
+        await asyncio.sleep(CONVERGENCE_S)
+        network.source.frozen = old
+        await network.nodes[network.ids[0]].kill()
+        await asyncio.sleep(30)
+        network.start_missing()
+        node = network.nodes[network.ids[0]]
+        while not node.is_joined:
+            await asyncio.sleep(0.01)
+        assert node.store.version == version
+        assert len(node.control.reached_peers) >= 3
+        return version
+
+    run(scenario)
+
+
+def test_leaving_spreads_within_seconds_and_ends_as_dead() -> None:
+    # Guards against new work for a leaving instance (I9: 3 s).
+    async def scenario(network: FakeNetwork) -> Version:
+        node = network.nodes[network.ids[0]]
+        node.control.announce_leaving()
+        await asyncio.sleep(3)
+        assert network.states(node.id) == {"LEAVING"}
+        await node.kill()
+        await asyncio.sleep(30)
+        assert network.states(node.id) == {"DEAD"}
+        return network.source.publish(2)
+
+    run(scenario)
+
+
+def test_control_bytes_stay_in_their_budget() -> None:
+    # Guards against heartbeats, deltas and syncs that grow past 3 KB/s.
+    async def scenario(network: FakeNetwork) -> Version:
+        for node in network.nodes.values():
+            node.sent_bytes = 0
+        for number in range(2, 13):
+            version = network.source.publish(number)
+            await asyncio.sleep(9)
+        sent = [node.sent_bytes for node in network.nodes.values()]
+        assert max(sent) / 99 < CONTROL_BYTES_PER_S / 2
+        return version
+
+    run(scenario)
