--- a/magnoliafork/proxy/ingress.py
+++ b/magnoliafork/proxy/ingress.py
@@ -68,6 +68,8 @@
 _KEY = re.compile(rf"[\x21-\x7e]{{1,{MAX_KEY_CHARS}}}")
 _INTERNAL_ERROR = 500
 _BACKLOG = 1024
+# Half of the transport's default high-water mark leaves room for the headers.
+_BUFFERED_BYTES = 32 * 1024
 # Time to read the rest of a refused body, so that the answer is not lost to a
 # connection reset.
 _LINGERING_S = 2.0
@@ -185,12 +187,14 @@
         return to_response(handled, request.method)
 
     async def _write(
-        self, request: web.BaseRequest, response: web.StreamResponse
+        self, request: web.BaseRequest, response: web.Response
     ) -> None:
+        if _fits_into_buffer(request, response):
+            await _send(request, response)
+            return
         try:
             async with asyncio.timeout(self.limits.write_timeout_s):
-                await response.prepare(request)
-                await response.write_eof()
+                await _send(request, response)
         except TimeoutError:
             self.counters.slow_readers += 1
             if request.transport is not None:
@@ -214,6 +218,9 @@
         length = request.content_length
         if length is not None and length > self.limits.max_body_bytes:
             return too_large
+        if request.content.is_eof() and length is not None:
+            # The whole body is here; reading it does not wait.
+            return await request.read()
         try:
             async with asyncio.timeout(self.limits.body_timeout_s):
                 if hdrs.EXPECT in request.headers:
@@ -233,6 +240,22 @@
     return IngressApp(sender, limits)
 
 
+def _fits_into_buffer(request: web.BaseRequest, response: web.Response) -> bool:
+    """Tells whether an answer can be written without waiting."""
+    transport = request.transport
+    return (
+        transport is not None
+        and transport.get_write_buffer_size() == 0
+        and isinstance(response.body, bytes)
+        and len(response.body) < _BUFFERED_BYTES
+    )
+
+
+async def _send(request: web.BaseRequest, response: web.Response) -> None:
+    await response.prepare(request)
+    await response.write_eof()
+
+
 def _bad_request() -> _Refusal:
     return _Refusal(400, NotRunReason.BAD_REQUEST)
 
