--- a/magnoliafork/tests/proxy/test_ingress.py
+++ b/magnoliafork/tests/proxy/test_ingress.py
@@ -1,13 +1,16 @@
 """Ingress over real loopback sockets."""
 
 import asyncio
+import dataclasses
+import functools
+import inspect
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
+from typing import Any, Concatenate, ParamSpec
 
 import pytest
 
 from magnoliafork.proxy.ingress import (
-    IngressApp,
     IngressLimits,
     IngressRunner,
     build_app,
@@ -18,6 +21,7 @@
     snapshot,
 )
 
+P = ParamSpec("P")
 LIMITS = IngressLimits(
     max_connections=4,
     head_timeout_s=0.3,
@@ -31,14 +35,14 @@
 class Front:
     """A node's ingress in front of a fake fleet."""
 
-    def __init__(self, limits: IngressLimits) -> None:
+    def __init__(self) -> None:
         self.fleet = Fleet(3, service_s=0.05)
         self.fleet.current = snapshot(
             route("/r/*", repeatable=True), route("/n/*")
         )
         self.requests = self.fleet.requests
         self.sender = self.fleet.sender()
-        self.app: IngressApp = build_app(self.sender, limits)
+        self.app = build_app(self.sender, LIMITS)
         self.runner = IngressRunner(self.app, "127.0.0.1", 0)
 
     async def connect(self) -> "Caller":
@@ -52,15 +56,18 @@
         finally:
             caller.writer.close()
 
+    async def runs(self, count: int) -> None:
+        """Waits until a number of requests have started to run."""
+        while len(self.fleet.runs) < count:
+            await asyncio.sleep(0.001)
 
+
+@dataclasses.dataclass
 class Caller:
     """Raw HTTP/1.1 connection."""
 
-    def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self.reader = reader
-        self.writer = writer
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
 
     def send(self, text: str, body: bytes = b"") -> None:
         lines = [*text.split("\n"), "Host: Shop.Example:80"]
@@ -85,23 +92,33 @@
         return int(status_line.split()[1]), headers, body
 
 
-def _with_front(
-    case: Callable[[Front], Awaitable[None]], limits: IngressLimits = LIMITS
-) -> Front:
-    async def main() -> Front:
-        front = Front(limits)
+def with_front(
+    test: Callable[Concatenate[Front, P], Coroutine[Any, Any, None]],
+) -> Callable[P, None]:
+    """Makes a test of a coroutine function that gets a running ingress."""
+
+    async def main(*args: P.args, **kwargs: P.kwargs) -> None:
+        front = Front()
         await front.runner.start()
         try:
             async with asyncio.timeout(10):
-                await case(front)
+                await test(front, *args, **kwargs)
         finally:
             await front.runner.stop(1.0)
-        return front
 
-    return asyncio.run(main())
+    def run(*args: P.args, **kwargs: P.kwargs) -> None:
+        asyncio.run(main(*args, **kwargs))
 
+    # Hides the first parameter from the fixtures.
+    signature = inspect.signature(test)
+    parameters = list(signature.parameters.values())[1:]
+    wrapped = functools.wraps(test)(run)
+    vars(wrapped)["__signature__"] = signature.replace(parameters=parameters)
+    return wrapped
 
-def test_an_answer_goes_through_whole() -> None:
+
+@with_front
+async def test_an_answer_goes_through_whole(front: Front) -> None:
     """Guards against lost headers, bodies, deadlines and trace contexts."""
     trace = f"00-{'a' * 32}-{'b' * 16}-01"
     text = (
@@ -110,15 +127,12 @@
         f"\nX-Hop: 1\nIdempotency-Key: k\nMagnolia-Attempt: 1"
         f"\nContent-Encoding: gzip\ntraceparent: {trace}"
     )
-
-    async def case(front: Front) -> None:
-        status, headers, body = await front.ask(text, b"not gzip at all")
-        assert (status, body) == (200, b"/n/a?x=%41")
-        assert headers["magnolia-outcome"] == "answered"
-        request_id = headers["magnolia-request-id"]
-        assert request_id == front.requests[0].request_id
-
-    request = _with_front(case).requests[0]
+    status, headers, body = await front.ask(text, b"not gzip at all")
+    assert (status, body) == (200, b"/n/a?x=%41")
+    assert headers["magnolia-outcome"] == "answered"
+    request_id = headers["magnolia-request-id"]
+    assert request_id == front.requests[0].request_id
+    request = front.requests[0]
     assert request.body == b"not gzip at all"
     assert request.traceparent == trace
     assert request.is_keyed
@@ -156,153 +170,135 @@
 
 
 @pytest.mark.parametrize(("status", "reason", "text"), REFUSED)
-def test_a_refused_request_says_not_run(
-    status: int, reason: str, text: str
+@with_front
+async def test_a_refused_request_says_not_run(
+    front: Front, status: int, reason: str, text: str
 ) -> None:
     """Guards against refusals that a caller cannot tell from a run."""
-
-    async def case(front: Front) -> None:
-        got, headers, content = await front.ask(text)
-        assert got == status
-        assert headers["magnolia-outcome"] == "not-run"
-        request_id = headers["magnolia-request-id"]
-        expected = {"outcome": "not-run", "reason": reason}
-        assert json.loads(content) == expected | {"request_id": request_id}
-        assert ("retry-after" in headers) == (status == 503)
-
-    assert not _with_front(case).requests
+    got, headers, content = await front.ask(text)
+    assert got == status
+    assert headers["magnolia-outcome"] == "not-run"
+    request_id = headers["magnolia-request-id"]
+    expected = {"outcome": "not-run", "reason": reason}
+    assert json.loads(content) == expected | {"request_id": request_id}
+    assert ("retry-after" in headers) == (status == 503)
+    assert not front.requests
 
 
 @pytest.mark.parametrize(("size", "status"), [(MIB, 200), (MIB + 1, 413)])
-def test_the_limit_of_a_chunked_body(size: int, status: int) -> None:
+@with_front
+async def test_the_limit_of_a_chunked_body(
+    front: Front, size: int, status: int
+) -> None:
     """Guards against a limit that is off by one or trusts the headers."""
     body = b"%x\r\n%s\r\n0\r\n\r\n" % (size, b"x" * size)
-
-    async def case(front: Front) -> None:
-        text = "POST /n/a HTTP/1.1\nTransfer-Encoding: chunked"
-        assert (await front.ask(text, body))[0] == status
-
-    got = [len(request.body) for request in _with_front(case).requests]
+    text = "POST /n/a HTTP/1.1\nTransfer-Encoding: chunked"
+    assert (await front.ask(text, body))[0] == status
+    got = [len(request.body) for request in front.requests]
     assert got == ([size] if status == 200 else [])
 
 
-def test_an_unknown_outcome_is_a_504() -> None:
+@with_front
+async def test_an_unknown_outcome_is_a_504(front: Front) -> None:
     """Guards against an unknown outcome that looks like "not run"."""
+    front.fleet.nodes["orders-0"].faults = ["unknown"]
+    status, headers, content = await front.ask("POST /n/a HTTP/1.1")
+    assert (status, headers["magnolia-outcome"]) == (504, "unknown")
+    assert json.loads(content)["reason"] == "upstream_broke"
 
-    async def case(front: Front) -> None:
-        front.fleet.nodes["orders-0"].faults = ["unknown"]
-        status, headers, content = await front.ask("POST /n/a HTTP/1.1")
-        assert (status, headers["magnolia-outcome"]) == (504, "unknown")
-        assert json.loads(content)["reason"] == "upstream_broke"
 
-    _with_front(case)
-
-
-def test_slow_callers_are_cut_and_counted() -> None:
+@with_front
+async def test_slow_callers_are_cut_and_counted(front: Front) -> None:
     """Guards against callers that hold connections for ever."""
+    slow_head = await front.connect()
+    slow_head.writer.write(b"GET /r/a HTT")
+    slow_body = await front.connect()
+    slow_body.send("POST /n/a HTTP/1.1\nContent-Length: 5")
+    assert (await slow_body.reply())[0] == 408
+    assert await slow_head.reader.read() == b""
+    assert front.app.counters.slow_bodies == 1
+    assert not front.requests
+    front.fleet.answer_to = lambda path: b"x" * MIB
+    slow_reader = await front.connect()
+    for _ in range(20):
+        slow_reader.send("GET /r/big HTTP/1.1")
+    while not front.app.counters.slow_readers:
+        await asyncio.sleep(0.05)
 
-    async def case(front: Front) -> None:
-        slow_head = await front.connect()
-        slow_head.writer.write(b"GET /r/a HTT")
-        slow_body = await front.connect()
-        slow_body.send("POST /n/a HTTP/1.1\nContent-Length: 5")
-        assert (await slow_body.reply())[0] == 408
-        assert await slow_head.reader.read() == b""
-        assert front.app.counters.slow_bodies == 1
-        assert not front.requests
-        front.fleet.answer_to = lambda path: b"x" * MIB
-        slow_reader = await front.connect()
-        for _ in range(20):
-            slow_reader.send("GET /r/big HTTP/1.1")
-        while not front.app.counters.slow_readers:
-            await asyncio.sleep(0.05)
-
-    _with_front(case)
-
-
-def test_connections_above_the_cap_are_refused() -> None:
-    """Guards against callers that use up the node's descriptors."""
-
-    async def case(front: Front) -> None:
-        callers = [await front.connect() for _ in range(5)]
-        status, headers, _ = await callers[4].reply()
-        assert (status, headers["magnolia-outcome"]) == (503, "not-run")
-        assert (await callers[0].ask("GET /r/a HTTP/1.1"))[0] == 200
-        assert front.app.counters.refused_connections == 1
 
-    _with_front(case)
+@with_front
+async def test_connections_above_the_cap_are_refused(front: Front) -> None:
+    """Guards against callers that use up the node's descriptors."""
+    callers = [await front.connect() for _ in range(5)]
+    status, headers, _ = await callers[4].reply()
+    assert (status, headers["magnolia-outcome"]) == (503, "not-run")
+    assert (await callers[0].ask("GET /r/a HTTP/1.1"))[0] == 200
+    assert front.app.counters.refused_connections == 1
 
 
 @pytest.mark.parametrize(
     ("path", "cancelled"), [("/r/a", ["/r/a"]), ("/n/a", [])]
 )
-def test_a_caller_disconnects(path: str, cancelled: list[str]) -> None:
+@with_front
+async def test_a_caller_disconnects(
+    front: Front, path: str, cancelled: list[str]
+) -> None:
     """Guards against repeatable work that nobody waits for."""
-
-    async def case(front: Front) -> None:
-        caller = await front.connect()
-        caller.send(f"POST {path} HTTP/1.1")
-        await asyncio.sleep(0.02)
-        caller.writer.close()
-        await asyncio.sleep(0.02)
-        assert await front.sender.drained(1.0) == 0
-
-    front = _with_front(case)
+    front.fleet.service_s = 0.5
+    caller = await front.connect()
+    caller.send(f"POST {path} HTTP/1.1")
+    await front.runs(1)
+    caller.writer.close()
+    while front.app.counters.in_flight:
+        await asyncio.sleep(0.01)
+    assert await front.sender.drained(5.0) == 0
     assert front.fleet.cancelled == cancelled
     assert [run_path for _, run_path in front.fleet.runs] == [path]
 
 
-def test_a_truncated_body_is_never_passed_on() -> None:
+@with_front
+async def test_a_truncated_body_is_never_passed_on(front: Front) -> None:
     """Guards against a part of a body that looks complete."""
-
-    async def case(front: Front) -> None:
-        caller = await front.connect()
-        caller.writer.write(
-            b"POST /n/a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nab"
-        )
-        await asyncio.sleep(0.02)
-        caller.writer.close()
-        await asyncio.sleep(0.05)
-
-    assert not _with_front(case).requests
+    caller = await front.connect()
+    caller.send("POST /n/a HTTP/1.1\nContent-Length: 5")
+    caller.writer.write(b"ab")
+    await asyncio.sleep(0.05)
+    caller.writer.close()
+    await front.runner.stop(5.0)
+    assert not front.requests
 
 
-def test_stop_cuts_no_answer() -> None:
+@with_front
+async def test_stop_cuts_no_answer(front: Front) -> None:
     """Guards against a planned stop that cuts requests (I10)."""
-
-    async def case(front: Front) -> None:
-        running, idle = await front.connect(), await front.connect()
-        assert (await idle.ask("GET /r/a HTTP/1.1"))[0] == 200
-        running.send("POST /n/a HTTP/1.1")
-        await asyncio.sleep(0.02)
-        front.sender.begin_stop()
-        front.runner.begin_stop()
-        status, headers, _ = await idle.ask("POST /n/b HTTP/1.1")
-        assert (status, headers["magnolia-outcome"]) == (503, "not-run")
-        assert headers["connection"] == "close"
-        late = await front.ask("POST /n/c HTTP/1.1")
-        assert late[0] == 503
-        stop = asyncio.create_task(front.runner.stop(1.0))
-        status, headers, body = await running.reply()
-        assert (status, body) == (200, b"/n/a")
-        assert headers["connection"] == "close"
-        assert await stop == 0
-        assert front.runner.connection_count == 0
-        with pytest.raises(OSError, match="Connect"):
-            await front.connect()
-
-    assert [path for _, path in _with_front(case).fleet.runs[1:]] == ["/n/a"]
-
-
-def test_a_stop_counts_the_requests_that_it_cuts() -> None:
+    running, idle = await front.connect(), await front.connect()
+    assert (await idle.ask("GET /r/a HTTP/1.1"))[0] == 200
+    front.fleet.service_s = 0.5
+    running.send("POST /n/a HTTP/1.1")
+    await front.runs(2)
+    front.sender.begin_stop()
+    front.runner.begin_stop()
+    status, headers, _ = await idle.ask("POST /n/b HTTP/1.1")
+    assert (status, headers["magnolia-outcome"]) == (503, "not-run")
+    assert headers["connection"] == "close"
+    assert (await front.ask("POST /n/c HTTP/1.1"))[0] == 503
+    stop = asyncio.create_task(front.runner.stop(5.0))
+    status, headers, body = await running.reply()
+    assert (status, body) == (200, b"/n/a")
+    assert headers["connection"] == "close"
+    assert await stop == 0
+    assert front.runner.connection_count == 0
+    with pytest.raises(OSError, match="Connect"):
+        await front.connect()
+    assert [path for _, path in front.fleet.runs[1:]] == ["/n/a"]
+
+
+@with_front
+async def test_a_stop_counts_the_requests_that_it_cuts(front: Front) -> None:
     """Guards against a stop that hides cut requests or never ends."""
-
-    async def case(front: Front) -> None:
-        front.fleet.service_s = 1.5
-        caller = await front.connect()
-        caller.send("POST /n/a HTTP/1.1")
-        await asyncio.sleep(0.02)
-        assert await front.runner.stop(0.1) == 1
-        await front.sender.drained(2.0)
-
-    _with_front(case)
+    front.fleet.service_s = 1.5
+    caller = await front.connect()
+    caller.send("POST /n/a HTTP/1.1")
+    await front.runs(1)
+    assert await front.runner.stop(0.1) == 1
+    await front.sender.drained(2.0)
--- a/magnoliafork/tests/proxy/test_sender_fleet.py
+++ b/magnoliafork/tests/proxy/test_sender_fleet.py
@@ -6,10 +6,11 @@
 
 import asyncio
 import dataclasses
+import functools
 import random
 from collections import Counter
 from collections.abc import Callable, Coroutine, Sequence
-from typing import Any
+from typing import Any, ParamSpec
 
 from magnoliafork.model.instance import Instance, Member, MemberState
 from magnoliafork.model.manifest import Manifest
@@ -24,14 +25,28 @@
 from magnoliafork.model.snapshot import Snapshot
 from magnoliafork.model.version import Version
 from magnoliafork.proxy.sender import IngressRequest, Sender
+from magnoliafork.tests import virtual_time
 from magnoliafork.wire import messages
 from magnoliafork.wire.api import LinkFailure
 
+P = ParamSpec("P")
 SILENT_LINK_S = 1.0
 LATE_COPY_S = 3.0
 REGIONS = ("r0", "r0", "r1")
 
 
+def in_virtual_time(
+    test: Callable[P, Coroutine[Any, Any, None]],
+) -> Callable[P, None]:
+    """Makes a test of a coroutine function."""
+
+    @functools.wraps(test)
+    def run(*args: P.args, **kwargs: P.kwargs) -> None:
+        virtual_time.run(test(*args, **kwargs))
+
+    return run
+
+
 def route(path: str = "/*", **changes: object) -> RouteRule:
     rule = RouteRule(
         method="*",
@@ -78,6 +93,13 @@
     moved_to: str = ""
 
 
+def _member(index: int) -> Member:
+    zone = index % 3
+    name, region = f"orders-{index}", REGIONS[zone]
+    instance = Instance(name, "orders", f"z{zone}", region, "::1", 1)
+    return Member(instance, 1, MemberState.ALIVE)
+
+
 class Fleet:
     """Instances of the service `orders`, with faults taken from lists."""
 
@@ -85,27 +107,9 @@
         self.current: Snapshot | None = snapshot(route())
         self.change_count = 0
         self.service_s = service_s
-        self.members = [
-            Member(
-                Instance(
-                    f"orders-{i}",
-                    "orders",
-                    f"z{i % 3}",
-                    REGIONS[i % 3],
-                    "::1",
-                    1,
-                ),
-                1,
-                MemberState.ALIVE,
-            )
-            for i in range(count)
-        ]
+        self.members = [_member(index) for index in range(count)]
         self.nodes = {m.instance.instance_id: Node() for m in self.members}
-        self.random_fault: tuple[random.Random, float, tuple[str, ...]] = (
-            random.Random(0),
-            0.0,
-            (),
-        )
+        self.random_fault: Callable[[], str] = str
         self.answer_to: Callable[[str], bytes] = str.encode
         self.requests: list[messages.CallRequest] = []
         self.runs: list[tuple[str, str]] = []
@@ -114,10 +118,9 @@
         self.late: set[asyncio.Task[object]] = set()
 
     def get(self, instance_id: str) -> Member | None:
-        for member in self.members:
-            if member.instance.instance_id == instance_id:
-                return member
-        return None
+        return {m.instance.instance_id: m for m in self.members}.get(
+            instance_id
+        )
 
     def members_of(self, service: str) -> Sequence[Member]:
         return self.members
@@ -125,7 +128,12 @@
     def state_age_s(self, instance_id: str, now_s: float) -> float:
         return now_s
 
-    def sender(self, seed: int = 1, zone: str = "z0") -> Sender:
+    def sender(
+        self,
+        seed: int = 1,
+        zone: str = "z0",
+        is_view_current: Callable[[], bool] = lambda: True,
+    ) -> Sender:
         return Sender(
             self,
             self,
@@ -133,6 +141,7 @@
             FirstMatch,
             own_zone=zone,
             own_region="r0",
+            is_view_current=is_view_current,
             rng=random.Random(seed),
             clock=asyncio.get_running_loop().time,
         )
@@ -159,7 +168,8 @@
             self._later(self._serve(instance_id, node, request))
             await asyncio.sleep(self.service_s / 2)
         if fault.startswith("dies"):
-            self.restart(node)
+            node.incarnation += 1
+            node.ledger = {}
             return lost
         if fault in ("overloaded", "leaving"):
             return messages.CallRefused(0, fault, 100, 8, 8, "")
@@ -207,10 +217,6 @@
         node.ledger[request_id] = tombstone
         return messages.CallFenceReply(0, messages.FenceState.NEVER_RAN.value)
 
-    def restart(self, node: Node) -> None:
-        node.incarnation += 1
-        node.ledger = {}
-
     async def settle(self) -> None:
         """Waits until no copy of a request is on its way any more."""
         while self.late:
@@ -220,8 +226,7 @@
     def _next_fault(self, node: Node) -> str:
         if node.faults:
             return node.faults.pop(0)
-        rng, rate, kinds = self.random_fault
-        return rng.choice(kinds) if rng.random() < rate else ""
+        return self.random_fault()
 
     def _later(self, delivery: Coroutine[Any, Any, object]) -> None:
         task = asyncio.create_task(delivery)
--- a/magnoliafork/tests/proxy/test_sender_histories.py
+++ b/magnoliafork/tests/proxy/test_sender_histories.py
@@ -20,6 +20,7 @@
 )
 
 REQUESTS = 400
+FAULT_RATE = 0.3
 KINDS = (
     "unsent",
     "silent",
@@ -44,7 +45,11 @@
         route("/r/*", repeatable=True, hedge_ms=30), route("/n/*")
     )
     rng = random.Random(seed)
-    fleet.random_fault = (rng, 0.3, KINDS)
+
+    def fault() -> str:
+        return rng.choice(KINDS) if rng.random() < FAULT_RATE else ""
+
+    fleet.random_fault = fault
     senders = [fleet.sender(seed + i, f"z{i}") for i in range(3)]
     outcomes: dict[str, Outcome] = {}
 
