--- a/magnoliafork/tests/proxy/test_sender_fleet.py
+++ b/magnoliafork/tests/proxy/test_sender_fleet.py
@@ -9,7 +9,7 @@
 import functools
 import random
 from collections import Counter
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Collection, Coroutine, Sequence
 from typing import Any, ParamSpec
 
 from magnoliafork.model.instance import Instance, Member, MemberState
@@ -115,6 +115,8 @@
         self.runs: list[tuple[str, str]] = []
         self.calls: list[tuple[str, str]] = []
         self.cancelled: list[str] = []
+        self.changed_at_s = 0.0
+        self.wrong_calls = 0
         self.late: set[asyncio.Task[object]] = set()
 
     def get(self, instance_id: str) -> Member | None:
@@ -152,6 +154,7 @@
         node = self.nodes[instance_id]
         self.calls.append((instance_id, request.path))
         self.requests.append(request)
+        self._check_eligible(instance_id)
         fault = self._next_fault(node)
         incarnation = node.incarnation
         lost = LinkFailure(True, incarnation, fault)
@@ -223,6 +226,34 @@
             await asyncio.wait(self.late)
             await asyncio.sleep(0)
 
+    def change(self, current: Snapshot, leaving: Collection[str] = ()) -> None:
+        """Puts a snapshot in force and sets which instances are leaving."""
+        self.current = current
+        self.members = [
+            dataclasses.replace(
+                member,
+                state=MemberState.LEAVING
+                if member.instance.instance_id in leaving
+                else MemberState.ALIVE,
+            )
+            for member in self.members
+        ]
+        self.change_count += 1
+        self.changed_at_s = asyncio.get_running_loop().time()
+
+    def _check_eligible(self, instance_id: str) -> None:
+        member = self.get(instance_id)
+        assert member is not None
+        assert self.current is not None
+        is_eligible = (
+            member.state is MemberState.ALIVE
+            and member.instance.zone not in self.current.rules.zones_out
+        )
+        # A call at the very instant of a change may still follow the old view.
+        is_settled = asyncio.get_running_loop().time() > self.changed_at_s
+        if is_settled and not is_eligible:
+            self.wrong_calls += 1
+
     def _next_fault(self, node: Node) -> str:
         if node.faults:
             return node.faults.pop(0)
@@ -271,7 +302,9 @@
 ) -> set[str]:
     """Checks a history in which every request has its own path."""
     runs = Counter(path for _, path in fleet.runs)
-    found = set()
+    found = (
+        {"call to an instance that takes none"} if fleet.wrong_calls else set()
+    )
     for path, outcome in outcomes.items():
         if isinstance(outcome, NotRun) and runs[path]:
             found.add("not run, but it ran")
--- a/magnoliafork/tests/proxy/test_sender_histories.py
+++ b/magnoliafork/tests/proxy/test_sender_histories.py
@@ -8,6 +8,7 @@
 import pytest
 
 from magnoliafork.balance import retry
+from magnoliafork.balance.candidates import CandidateIndex, Candidates
 from magnoliafork.model.request import NotRun, NotRunReason, Outcome
 from magnoliafork.proxy import attempt, sender
 from magnoliafork.tests import virtual_time
@@ -33,6 +34,7 @@
 )
 RUNS_MORE_THAN_ONCE = "ran more than once"
 NOT_RUN_BUT_RAN = "not run, but it ran"
+WRONG_CALL = "call to an instance that takes none"
 CROSSED = "answer of another request"
 
 
@@ -41,9 +43,8 @@
 ) -> set[str]:
     fleet = Fleet()
     fleet.answer_to = answer_to
-    fleet.current = snapshot(
-        route("/r/*", repeatable=True, hedge_ms=30), route("/n/*")
-    )
+    routes = (route("/r/*", repeatable=True, hedge_ms=30), route("/n/*"))
+    fleet.current = snapshot(*routes)
     rng = random.Random(seed)
 
     def fault() -> str:
@@ -61,8 +62,17 @@
             ask(path, key, first=rng.random() < 0.5)
         )
 
+    async def move() -> None:
+        while True:
+            await asyncio.sleep(rng.random() * 2)
+            zones_out = tuple(rng.sample(("z0", "z1", "z2"), rng.randrange(2)))
+            leaving = rng.sample(sorted(fleet.nodes), rng.randrange(2))
+            fleet.change(snapshot(*routes, zones_out=zones_out), {*leaving})
+
+    mover = asyncio.create_task(move())
     await asyncio.gather(*[one(number) for number in range(REQUESTS)])
     await fleet.settle()
+    mover.cancel()
     assert len(outcomes) == REQUESTS
     assert sum(s.counters.in_flight for s in senders) == 0
     return violations(fleet, outcomes, "/r/")
@@ -70,37 +80,34 @@
 
 @pytest.mark.parametrize("seed", range(20))
 def test_random_faults_break_no_promise(seed: int) -> None:
-    """Guards against wrong outcomes under any mix of faults (I6, I7, I8)."""
+    """Guards against wrong outcomes and wrong receivers (I5 to I9)."""
     assert virtual_time.run(_history(seed)) == set()
 
 
-async def _resolve_without_fence(self: Any, state: Any, *_: Any) -> Outcome:
+async def _resolve_lightly(self: Any, state: Any, *_: Any) -> Outcome:
     return NotRun(NotRunReason.UNREACHABLE)
 
 
-def _judge_fence_lightly(self: Any, state: Any, reply: Any) -> Outcome:
+def _judge_lightly(self: Any, state: Any, reply: Any) -> Outcome:
     return NotRun(NotRunReason.UNREACHABLE)
 
 
-@pytest.mark.parametrize(
-    ("owner", "name", "planted", "rule"),
-    [
-        (
-            attempt.Attempts,
-            "_resolve",
-            _resolve_without_fence,
-            NOT_RUN_BUT_RAN,
-        ),
-        (
-            attempt.Attempts,
-            "_judge_fence",
-            _judge_fence_lightly,
-            NOT_RUN_BUT_RAN,
-        ),
-        (sender, "_final", lambda run, last: last, NOT_RUN_BUT_RAN),
-        (sender, "may_retry", lambda state: True, RUNS_MORE_THAN_ONCE),
-    ],
-)
+def _all_members(self: Any, service: str, snapshot: object) -> Candidates:
+    members = tuple(self._membership.members_of(service))
+    ids = tuple(member.instance.instance_id for member in members)
+    return Candidates((members,), ids)
+
+
+PLANTED = [
+    (attempt.Attempts, "_resolve", _resolve_lightly, NOT_RUN_BUT_RAN),
+    (attempt.Attempts, "_judge_fence", _judge_lightly, NOT_RUN_BUT_RAN),
+    (sender, "_final", lambda run, last: last, NOT_RUN_BUT_RAN),
+    (sender, "may_retry", lambda state: True, RUNS_MORE_THAN_ONCE),
+    (CandidateIndex, "of_service", _all_members, WRONG_CALL),
+]
+
+
+@pytest.mark.parametrize(("owner", "name", "planted", "rule"), PLANTED)
 def test_the_checker_catches_planted_faults(
     monkeypatch: pytest.MonkeyPatch,
     owner: object,
