--- a/magnoliafork/tests/proxy/test_ingress.py
+++ b/magnoliafork/tests/proxy/test_ingress.py
@@ -1,13 +1,16 @@
 """Ingress over real loopback sockets."""
 
 import asyncio
+import dataclasses
+import functools
+import inspect
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
+from typing import Any, Concatenate, ParamSpec
 
 import pytest
 
 from magnoliafork.proxy.ingress import (
-    IngressApp,
     IngressLimits,
     IngressRunner,
     build_app,
@@ -17,9 +20,8 @@
     route,
     snapshot,
 )
-from magnoliafork.wire import messages
-from magnoliafork.wire.api import LinkFailure
 
+P = ParamSpec("P")
 LIMITS = IngressLimits(
     max_connections=4,
     head_timeout_s=0.3,
@@ -33,24 +35,16 @@
 class Front:
     """A node's ingress in front of a fake fleet."""
 
-    def __init__(self, limits: IngressLimits) -> None:
+    def __init__(self) -> None:
         self.fleet = Fleet(3, service_s=0.05)
         self.fleet.current = snapshot(
             route("/r/*", repeatable=True), route("/n/*")
         )
-        self.requests: list[messages.CallRequest] = []
-        self._plain_call = self.fleet.call
-        self.fleet.call = self._recording_call  # type: ignore[method-assign]
+        self.requests = self.fleet.requests
         self.sender = self.fleet.sender()
-        self.app: IngressApp = build_app(self.sender, limits)
+        self.app = build_app(self.sender, LIMITS)
         self.runner = IngressRunner(self.app, "127.0.0.1", 0)
 
-    async def _recording_call(
-        self, instance_id: str, request: messages.CallRequest, timeout_s: float
-    ) -> messages.CallReply | LinkFailure:
-        self.requests.append(request)
-        return await self._plain_call(instance_id, request, timeout_s)
-
     async def connect(self) -> "Caller":
         pair = await asyncio.open_connection("127.0.0.1", self.runner.port)
         return Caller(*pair)
@@ -62,19 +56,22 @@
         finally:
             caller.writer.close()
 
+    async def runs(self, count: int) -> None:
+        """Waits until a number of requests have started to run."""
+        while len(self.fleet.runs) < count:
+            await asyncio.sleep(0.001)
+
 
+@dataclasses.dataclass
 class Caller:
     """Raw HTTP/1.1 connection."""
 
-    def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self.reader = reader
-        self.writer = writer
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
 
     def send(self, text: str, body: bytes = b"") -> None:
         lines = [*text.split("\n"), "Host: Shop.Example:80"]
-        if body:
+        if body and "Transfer-Encoding" not in text:
             lines.append(f"Content-Length: {len(body)}")
         head = "\r\n".join(lines).encode("latin-1")
         self.writer.write(head + b"\r\n\r\n" + body)
@@ -95,23 +92,33 @@
         return int(status_line.split()[1]), headers, body
 
 
-def _with_front(
-    case: Callable[[Front], Awaitable[None]], limits: IngressLimits = LIMITS
-) -> Front:
-    async def main() -> Front:
-        front = Front(limits)
+def with_front(
+    test: Callable[Concatenate[Front, P], Coroutine[Any, Any, None]],
+) -> Callable[P, None]:
+    """Makes a test of a coroutine function that gets a running ingress."""
+
+    async def main(*args: P.args, **kwargs: P.kwargs) -> None:
+        front = Front()
         await front.runner.start()
         try:
             async with asyncio.timeout(10):
-                await case(front)
+                await test(front, *args, **kwargs)
         finally:
             await front.runner.stop(1.0)
-        return front
 
-    return asyncio.run(main())
+    def run(*args: P.args, **kwargs: P.kwargs) -> None:
+        asyncio.run(main(*args, **kwargs))
 
+    # Hides the first parameter from the fixtures.
+    signature = inspect.signature(test)
+    parameters = list(signature.parameters.values())[1:]
+    wrapped = functools.wraps(test)(run)
+    vars(wrapped)["__signature__"] = signature.replace(parameters=parameters)
+    return wrapped
 
-def test_an_answer_goes_through_whole() -> None:
+
+@with_front
+async def test_an_answer_goes_through_whole(front: Front) -> None:
     """Guards against lost headers, bodies, deadlines and trace contexts."""
     trace = f"00-{'a' * 32}-{'b' * 16}-01"
     text = (
@@ -120,15 +127,12 @@
         f"\nX-Hop: 1\nIdempotency-Key: k\nMagnolia-Attempt: 1"
         f"\nContent-Encoding: gzip\ntraceparent: {trace}"
     )
-
-    async def case(front: Front) -> None:
-        status, headers, body = await front.ask(text, b"not gzip at all")
-        assert (status, body) == (200, b"/n/a?x=%41")
-        assert headers["magnolia-outcome"] == "answered"
-        request_id = headers["magnolia-request-id"]
-        assert request_id == front.requests[0].request_id
-
-    request = _with_front(case).requests[0]
+    status, headers, body = await front.ask(text, b"not gzip at all")
+    assert (status, body) == (200, b"/n/a?x=%41")
+    assert headers["magnolia-outcome"] == "answered"
+    request_id = headers["magnolia-request-id"]
+    assert request_id == front.requests[0].request_id
+    request = front.requests[0]
     assert request.body == b"not gzip at all"
     assert request.traceparent == trace
     assert request.is_keyed
@@ -138,180 +142,163 @@
     assert names == {"x-a", "host", "idempotency-key", "content-encoding"}
 
 
-@pytest.mark.parametrize(
-    ("text", "body", "status", "reason"),
-    [
-        ("GET /nowhere HTTP/1.1", b"", 404, "no_route"),
-        ("OPTIONS * HTTP/1.1", b"", 400, "bad_request"),
-        ("POST /n/../r/a HTTP/1.1", b"", 400, "bad_request"),
-        ("POST /r/%2e%2E/n/a HTTP/1.1", b"", 400, "bad_request"),
-        ("GET /r/a HTTP/1.1\nX-A: \xff", b"", 400, "bad_request"),
-        ("BROKEN", b"", 400, "bad_request"),
-        ("POST /n/a HTTP/1.1", b"x" * (MIB + 1), 413, "body_too_large"),
-        ("GET /r/a HTTP/1.1\nX-A: " + "x" * 9000, b"", 400, "bad_request"),
-        (
-            "GET /r/a HTTP/1.1" + f"\nX-A: {'x' * 7000}" * 5,
-            b"",
-            431,
-            "bad_request",
-        ),
-        *[
-            (f"POST /n/a HTTP/1.1\n{header}", b"", 400, "bad_request")
-            for header in (
-                "Magnolia-Deadline-Ms: soon",
-                "Magnolia-Deadline-Ms: -1",
-                "Magnolia-Deadline-Ms: 5\nMagnolia-Deadline-Ms: 6",
-                "Magnolia-Deadline-Ms: 99999999",
-                "Idempotency-Key: a b",
-                "Idempotency-Key: ",
-                "Idempotency-Key: a\nIdempotency-Key: b",
-                "Idempotency-Key: " + "k" * 256,
-                "Magnolia-Attempt: 0",
-            )
-        ],
-        ("POST /n/a HTTP/1.1\nMagnolia-Deadline-Ms: 0", b"", 503, "deadline"),
-    ],
-)
-def test_a_refused_request_says_not_run(
-    text: str, body: bytes, status: int, reason: str
+BAD_REQUESTS = [
+    "OPTIONS * HTTP/1.1",
+    "GET http://other/r/a HTTP/1.1",
+    "POST /n/../r/a HTTP/1.1",
+    "POST /r/%2e%2E/n/a HTTP/1.1",
+    "GET /r/a HTTP/1.1\nX-A: \xff",
+    "BROKEN",
+    "GET /r/a HTTP/1.1\nX-A: " + "x" * 9000,
+    "POST /n/a HTTP/1.1\nMagnolia-Deadline-Ms: soon",
+    "POST /n/a HTTP/1.1\nMagnolia-Deadline-Ms: -1",
+    "POST /n/a HTTP/1.1\nMagnolia-Deadline-Ms: 5\nMagnolia-Deadline-Ms: 6",
+    "POST /n/a HTTP/1.1\nMagnolia-Deadline-Ms: 99999999",
+    "POST /n/a HTTP/1.1\nIdempotency-Key: a b",
+    "POST /n/a HTTP/1.1\nIdempotency-Key: ",
+    "POST /n/a HTTP/1.1\nIdempotency-Key: a\nIdempotency-Key: b",
+    "POST /n/a HTTP/1.1\nIdempotency-Key: " + "k" * 256,
+    "POST /n/a HTTP/1.1\nMagnolia-Attempt: 0",
+]
+REFUSED = [
+    *[(400, "bad_request", text) for text in BAD_REQUESTS],
+    (404, "no_route", "GET /nowhere HTTP/1.1"),
+    (413, "body_too_large", f"PUT /n/a HTTP/1.1\nContent-Length: {MIB + 1}"),
+    (431, "bad_request", "GET /r/a HTTP/1.1" + f"\nX-A: {'x' * 7000}" * 5),
+    (503, "deadline", "POST /n/a HTTP/1.1\nMagnolia-Deadline-Ms: 0"),
+]
+
+
+@pytest.mark.parametrize(("status", "reason", "text"), REFUSED)
+@with_front
+async def test_a_refused_request_says_not_run(
+    front: Front, status: int, reason: str, text: str
 ) -> None:
     """Guards against refusals that a caller cannot tell from a run."""
-
-    async def case(front: Front) -> None:
-        got, headers, content = await front.ask(text, body)
-        assert got == status
-        assert headers["magnolia-outcome"] == "not-run"
-        detail = json.loads(content)
-        assert detail["outcome"] == "not-run"
-        assert detail["reason"] == reason
-        assert detail["request_id"] == headers["magnolia-request-id"]
-        assert ("retry-after" in headers) == (status == 503)
-
-    assert not _with_front(case).requests
-
-
-def test_the_largest_body_passes() -> None:
-    """Guards against a limit that is off by one."""
-
-    async def case(front: Front) -> None:
-        reply = await front.ask("POST /n/a HTTP/1.1", b"x" * MIB)
-        assert reply[0] == 200
-
-    assert len(_with_front(case).requests[0].body) == MIB
+    got, headers, content = await front.ask(text)
+    assert got == status
+    assert headers["magnolia-outcome"] == "not-run"
+    request_id = headers["magnolia-request-id"]
+    expected = {"outcome": "not-run", "reason": reason}
+    assert json.loads(content) == expected | {"request_id": request_id}
+    assert ("retry-after" in headers) == (status == 503)
+    assert not front.requests
+
+
+@pytest.mark.parametrize(("size", "status"), [(MIB, 200), (MIB + 1, 413)])
+@with_front
+async def test_the_limit_of_a_chunked_body(
+    front: Front, size: int, status: int
+) -> None:
+    """Guards against a limit that is off by one or trusts the headers."""
+    body = b"%x\r\n%s\r\n0\r\n\r\n" % (size, b"x" * size)
+    text = "POST /n/a HTTP/1.1\nTransfer-Encoding: chunked"
+    assert (await front.ask(text, body))[0] == status
+    got = [len(request.body) for request in front.requests]
+    assert got == ([size] if status == 200 else [])
 
 
-def test_an_unknown_outcome_is_a_504() -> None:
+@with_front
+async def test_an_unknown_outcome_is_a_504(front: Front) -> None:
     """Guards against an unknown outcome that looks like "not run"."""
-
-    async def case(front: Front) -> None:
-        front.fleet.nodes["orders-0"].faults = ["unknown"]
-        status, headers, content = await front.ask("POST /n/a HTTP/1.1")
-        assert (status, headers["magnolia-outcome"]) == (504, "unknown")
-        assert json.loads(content)["reason"] == "upstream_broke"
-
-    _with_front(case)
-
-
-def test_slow_callers_are_cut_and_counted() -> None:
-    """Guards against callers that hold connections without sending."""
-
-    async def case(front: Front) -> None:
-        slow_head = await front.connect()
-        slow_head.writer.write(b"GET /r/a HTT")
-        slow_body = await front.connect()
-        slow_body.writer.write(
-            b"POST /n/a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nab"
-        )
-        assert (await slow_body.reply())[0] == 408
-        assert await slow_head.reader.read() == b""
-        assert front.app.counters.slow_bodies == 1
-
-    assert not _with_front(case).requests
+    front.fleet.nodes["orders-0"].faults = ["unknown"]
+    status, headers, content = await front.ask("POST /n/a HTTP/1.1")
+    assert (status, headers["magnolia-outcome"]) == (504, "unknown")
+    assert json.loads(content)["reason"] == "upstream_broke"
+
+
+@with_front
+async def test_slow_callers_are_cut_and_counted(front: Front) -> None:
+    """Guards against callers that hold connections for ever."""
+    slow_head = await front.connect()
+    slow_head.writer.write(b"GET /r/a HTT")
+    slow_body = await front.connect()
+    slow_body.send("POST /n/a HTTP/1.1\nContent-Length: 5")
+    assert (await slow_body.reply())[0] == 408
+    assert await slow_head.reader.read() == b""
+    assert front.app.counters.slow_bodies == 1
+    assert not front.requests
+    front.fleet.answer_to = lambda path: b"x" * MIB
+    slow_reader = await front.connect()
+    for _ in range(20):
+        slow_reader.send("GET /r/big HTTP/1.1")
+    while not front.app.counters.slow_readers:
+        await asyncio.sleep(0.05)
 
 
-def test_connections_above_the_cap_are_refused() -> None:
+@with_front
+async def test_connections_above_the_cap_are_refused(front: Front) -> None:
     """Guards against callers that use up the node's descriptors."""
-
-    async def case(front: Front) -> None:
-        callers = [await front.connect() for _ in range(5)]
-        status, headers, _ = await callers[4].reply()
-        assert (status, headers["magnolia-outcome"]) == (503, "not-run")
-        assert (await callers[0].ask("GET /r/a HTTP/1.1"))[0] == 200
-        assert front.app.counters.refused_connections == 1
-
-    _with_front(case)
+    callers = [await front.connect() for _ in range(5)]
+    status, headers, _ = await callers[4].reply()
+    assert (status, headers["magnolia-outcome"]) == (503, "not-run")
+    assert (await callers[0].ask("GET /r/a HTTP/1.1"))[0] == 200
+    assert front.app.counters.refused_connections == 1
 
 
 @pytest.mark.parametrize(
     ("path", "cancelled"), [("/r/a", ["/r/a"]), ("/n/a", [])]
 )
-def test_a_caller_disconnects(path: str, cancelled: list[str]) -> None:
+@with_front
+async def test_a_caller_disconnects(
+    front: Front, path: str, cancelled: list[str]
+) -> None:
     """Guards against repeatable work that nobody waits for."""
-
-    async def case(front: Front) -> None:
-        caller = await front.connect()
-        caller.send(f"POST {path} HTTP/1.1")
-        await asyncio.sleep(0.02)
-        caller.writer.close()
-        await asyncio.sleep(0.02)
-        assert await front.sender.drained(1.0) == 0
-
-    front = _with_front(case)
+    front.fleet.service_s = 0.5
+    caller = await front.connect()
+    caller.send(f"POST {path} HTTP/1.1")
+    await front.runs(1)
+    caller.writer.close()
+    while front.app.counters.in_flight:
+        await asyncio.sleep(0.01)
+    assert await front.sender.drained(5.0) == 0
     assert front.fleet.cancelled == cancelled
     assert [run_path for _, run_path in front.fleet.runs] == [path]
 
 
-def test_a_truncated_body_is_never_passed_on() -> None:
+@with_front
+async def test_a_truncated_body_is_never_passed_on(front: Front) -> None:
     """Guards against a part of a body that looks complete."""
+    caller = await front.connect()
+    caller.send("POST /n/a HTTP/1.1\nContent-Length: 5")
+    caller.writer.write(b"ab")
+    await asyncio.sleep(0.05)
+    caller.writer.close()
+    await front.runner.stop(5.0)
+    assert not front.requests
 
-    async def case(front: Front) -> None:
-        caller = await front.connect()
-        caller.writer.write(
-            b"POST /n/a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nab"
-        )
-        await asyncio.sleep(0.02)
-        caller.writer.close()
-        await asyncio.sleep(0.05)
-
-    assert not _with_front(case).requests
 
-
-def test_stop_cuts_no_answer() -> None:
+@with_front
+async def test_stop_cuts_no_answer(front: Front) -> None:
     """Guards against a planned stop that cuts requests (I10)."""
-
-    async def case(front: Front) -> None:
-        running, idle = await front.connect(), await front.connect()
-        assert (await idle.ask("GET /r/a HTTP/1.1"))[0] == 200
-        running.send("POST /n/a HTTP/1.1")
-        await asyncio.sleep(0.02)
-        front.sender.begin_stop()
-        front.runner.begin_stop()
-        status, headers, _ = await idle.ask("POST /n/b HTTP/1.1")
-        assert (status, headers["magnolia-outcome"]) == (503, "not-run")
-        assert headers["connection"] == "close"
-        late = await front.ask("POST /n/c HTTP/1.1")
-        assert late[0] == 503
-        stop = asyncio.create_task(front.runner.stop(1.0))
-        status, headers, body = await running.reply()
-        assert (status, body) == (200, b"/n/a")
-        assert headers["connection"] == "close"
-        assert await stop == 0
-        assert front.runner.connection_count == 0
-        with pytest.raises(OSError, match="Connect"):
-            await front.connect()
-
-    assert [path for _, path in _with_front(case).fleet.runs[1:]] == ["/n/a"]
-
-
-def test_a_stop_counts_the_requests_that_it_cuts() -> None:
+    running, idle = await front.connect(), await front.connect()
+    assert (await idle.ask("GET /r/a HTTP/1.1"))[0] == 200
+    front.fleet.service_s = 0.5
+    running.send("POST /n/a HTTP/1.1")
+    await front.runs(2)
+    front.sender.begin_stop()
+    front.runner.begin_stop()
+    status, headers, _ = await idle.ask("POST /n/b HTTP/1.1")
+    assert (status, headers["magnolia-outcome"]) == (503, "not-run")
+    assert headers["connection"] == "close"
+    assert (await front.ask("POST /n/c HTTP/1.1"))[0] == 503
+    stop = asyncio.create_task(front.runner.stop(5.0))
+    status, headers, body = await running.reply()
+    assert (status, body) == (200, b"/n/a")
+    assert headers["connection"] == "close"
+    assert await stop == 0
+    assert front.runner.connection_count == 0
+    with pytest.raises(OSError, match="Connect"):
+        await front.connect()
+    assert [path for _, path in front.fleet.runs[1:]] == ["/n/a"]
+
+
+@with_front
+async def test_a_stop_counts_the_requests_that_it_cuts(front: Front) -> None:
     """Guards against a stop that hides cut requests or never ends."""
-
-    async def case(front: Front) -> None:
-        front.fleet.service_s = 1.5
-        caller = await front.connect()
-        caller.send("POST /n/a HTTP/1.1")
-        await asyncio.sleep(0.02)
-        assert await front.runner.stop(0.1) == 1
-        await front.sender.drained(2.0)
-
-    _with_front(case)
+    front.fleet.service_s = 1.5
+    caller = await front.connect()
+    caller.send("POST /n/a HTTP/1.1")
+    await front.runs(1)
+    assert await front.runner.stop(0.1) == 1
+    await front.sender.drained(2.0)
--- a/magnoliafork/tests/proxy/test_sender_fleet.py
+++ b/magnoliafork/tests/proxy/test_sender_fleet.py
@@ -6,10 +6,11 @@
 
 import asyncio
 import dataclasses
+import functools
 import random
 from collections import Counter
-from collections.abc import Coroutine, Sequence
-from typing import Any
+from collections.abc import Callable, Collection, Coroutine, Sequence
+from typing import Any, ParamSpec
 
 from magnoliafork.model.instance import Instance, Member, MemberState
 from magnoliafork.model.manifest import Manifest
@@ -24,12 +25,26 @@
 from magnoliafork.model.snapshot import Snapshot
 from magnoliafork.model.version import Version
 from magnoliafork.proxy.sender import IngressRequest, Sender
+from magnoliafork.tests import virtual_time
 from magnoliafork.wire import messages
 from magnoliafork.wire.api import LinkFailure
 
+P = ParamSpec("P")
 SILENT_LINK_S = 1.0
 LATE_COPY_S = 3.0
-ORIGIN = Origin(1, "tests")
+REGIONS = ("r0", "r0", "r1")
+
+
+def in_virtual_time(
+    test: Callable[P, Coroutine[Any, Any, None]],
+) -> Callable[P, None]:
+    """Makes a test of a coroutine function."""
+
+    @functools.wraps(test)
+    def run(*args: P.args, **kwargs: P.kwargs) -> None:
+        virtual_time.run(test(*args, **kwargs))
+
+    return run
 
 
 def route(path: str = "/*", **changes: object) -> RouteRule:
@@ -43,7 +58,7 @@
         retries=2,
         hedge_ms=0,
         priority=Priority.NORMAL,
-        origin=ORIGIN,
+        origin=Origin(1, "tests"),
     )
     return dataclasses.replace(rule, **changes)  # type: ignore[arg-type]
 
@@ -78,6 +93,13 @@
     moved_to: str = ""
 
 
+def _member(index: int) -> Member:
+    zone = index % 3
+    name, region = f"orders-{index}", REGIONS[zone]
+    instance = Instance(name, "orders", f"z{zone}", region, "::1", 1)
+    return Member(instance, 1, MemberState.ALIVE)
+
+
 class Fleet:
     """Instances of the service `orders`, with faults taken from lists."""
 
@@ -85,31 +107,22 @@
         self.current: Snapshot | None = snapshot(route())
         self.change_count = 0
         self.service_s = service_s
-        self.members = [
-            Member(
-                Instance(f"orders-{i}", "orders", f"z{i % 3}", "r", "::1", 1),
-                1,
-                MemberState.ALIVE,
-            )
-            for i in range(count)
-        ]
+        self.members = [_member(index) for index in range(count)]
         self.nodes = {m.instance.instance_id: Node() for m in self.members}
-        self.random_fault: tuple[random.Random, float, tuple[str, ...]] = (
-            random.Random(0),
-            0.0,
-            (),
-        )
-        self.crosses_answers = False
+        self.random_fault: Callable[[], str] = str
+        self.answer_to: Callable[[str], bytes] = str.encode
+        self.requests: list[messages.CallRequest] = []
         self.runs: list[tuple[str, str]] = []
         self.calls: list[tuple[str, str]] = []
         self.cancelled: list[str] = []
+        self.changed_at_s = 0.0
+        self.wrong_calls = 0
         self.late: set[asyncio.Task[object]] = set()
 
     def get(self, instance_id: str) -> Member | None:
-        for member in self.members:
-            if member.instance.instance_id == instance_id:
-                return member
-        return None
+        return {m.instance.instance_id: m for m in self.members}.get(
+            instance_id
+        )
 
     def members_of(self, service: str) -> Sequence[Member]:
         return self.members
@@ -117,14 +130,20 @@
     def state_age_s(self, instance_id: str, now_s: float) -> float:
         return now_s
 
-    def sender(self, seed: int = 1, zone: str = "z0") -> Sender:
+    def sender(
+        self,
+        seed: int = 1,
+        zone: str = "z0",
+        is_view_current: Callable[[], bool] = lambda: True,
+    ) -> Sender:
         return Sender(
             self,
             self,
             self,
             FirstMatch,
             own_zone=zone,
-            own_region="r",
+            own_region="r0",
+            is_view_current=is_view_current,
             rng=random.Random(seed),
             clock=asyncio.get_running_loop().time,
         )
@@ -134,6 +153,8 @@
     ) -> messages.CallReply | LinkFailure:
         node = self.nodes[instance_id]
         self.calls.append((instance_id, request.path))
+        self.requests.append(request)
+        self._check_eligible(instance_id)
         fault = self._next_fault(node)
         incarnation = node.incarnation
         lost = LinkFailure(True, incarnation, fault)
@@ -150,7 +171,8 @@
             self._later(self._serve(instance_id, node, request))
             await asyncio.sleep(self.service_s / 2)
         if fault.startswith("dies"):
-            self.restart(node)
+            node.incarnation += 1
+            node.ledger = {}
             return lost
         if fault in ("overloaded", "leaving"):
             return messages.CallRefused(0, fault, 100, 8, 8, "")
@@ -198,21 +220,44 @@
         node.ledger[request_id] = tombstone
         return messages.CallFenceReply(0, messages.FenceState.NEVER_RAN.value)
 
-    def restart(self, node: Node) -> None:
-        node.incarnation += 1
-        node.ledger = {}
-
     async def settle(self) -> None:
         """Waits until no copy of a request is on its way any more."""
         while self.late:
             await asyncio.wait(self.late)
             await asyncio.sleep(0)
 
+    def change(self, current: Snapshot, leaving: Collection[str] = ()) -> None:
+        """Puts a snapshot in force and sets which instances are leaving."""
+        self.current = current
+        self.members = [
+            dataclasses.replace(
+                member,
+                state=MemberState.LEAVING
+                if member.instance.instance_id in leaving
+                else MemberState.ALIVE,
+            )
+            for member in self.members
+        ]
+        self.change_count += 1
+        self.changed_at_s = asyncio.get_running_loop().time()
+
+    def _check_eligible(self, instance_id: str) -> None:
+        member = self.get(instance_id)
+        assert member is not None
+        assert self.current is not None
+        is_eligible = (
+            member.state is MemberState.ALIVE
+            and member.instance.zone not in self.current.rules.zones_out
+        )
+        # A call at the very instant of a change may still follow the old view.
+        is_settled = asyncio.get_running_loop().time() > self.changed_at_s
+        if is_settled and not is_eligible:
+            self.wrong_calls += 1
+
     def _next_fault(self, node: Node) -> str:
         if node.faults:
             return node.faults.pop(0)
-        rng, rate, kinds = self.random_fault
-        return rng.choice(kinds) if rng.random() < rate else ""
+        return self.random_fault()
 
     def _later(self, delivery: Coroutine[Any, Any, object]) -> None:
         task = asyncio.create_task(delivery)
@@ -238,9 +283,9 @@
             node.ledger[request.request_id] = done
         self.runs.append((request.request_id, request.path))
         await asyncio.sleep(self.service_s)
-        path = "/other" if self.crosses_answers else request.path
+        body = self.answer_to(request.path)
         answer = messages.CallAnswer(
-            0, 200, ("X-From",), (instance_id,), path.encode(), 1, 8
+            0, 200, ("X-From",), (instance_id,), body, 1, 8
         )
         done.set_result(answer)
         return answer
@@ -257,7 +302,9 @@
 ) -> set[str]:
     """Checks a history in which every request has its own path."""
     runs = Counter(path for _, path in fleet.runs)
-    found = set()
+    found = (
+        {"call to an instance that takes none"} if fleet.wrong_calls else set()
+    )
     for path, outcome in outcomes.items():
         if isinstance(outcome, NotRun) and runs[path]:
             found.add("not run, but it ran")
