--- a/magnoliafork/proxy/attempt.py
+++ b/magnoliafork/proxy/attempt.py
@@ -22,7 +22,10 @@
 VERDICT_GRACE_S = 0.1
 # Time after the deadline in which a fence may still settle the outcome.
 SETTLE_GRACE_S = 0.5
+# Pauses between fences of one request; the later ones spare a dead receiver
+# the connection attempts of all the calls that it left behind.
 FENCE_BACK_OFF_S = 0.05
+MAX_FENCE_BACK_OFF_S = 0.4
 # The receiver forgets outcomes 120 s after the answer and would then call the
 # request never run. A fence is sent in the first half of that time only, and
 # its reply is trusted only if it arrives with a margin before the end.
@@ -161,6 +164,7 @@
         self, state: CallState, instance_id: str, incarnation: int
     ) -> AttemptResult:
         end_s = max(state.deadline_s, self._clock()) + SETTLE_GRACE_S
+        back_off_s = FENCE_BACK_OFF_S
         while True:
             now_s = self._clock()
             if self._age_s(state, now_s) > MAX_FENCE_AGE_S:
@@ -178,7 +182,8 @@
                 return self._judge_fence(state, reply)
             if not isinstance(reply, LinkFailure):
                 return judge(reply)
-            await asyncio.sleep(FENCE_BACK_OFF_S)
+            await asyncio.sleep(back_off_s)
+            back_off_s = min(back_off_s * 2, MAX_FENCE_BACK_OFF_S)
 
     def _judge_fence(
         self, state: CallState, reply: messages.CallFenceReply
--- a/magnoliafork/proxy/sender.py
+++ b/magnoliafork/proxy/sender.py
@@ -43,9 +43,6 @@
 from magnoliafork.wire.api import PeerCalls
 
 MAX_REDIRECTS = 2
-# Retries of a request that was certainly not run, on routes that allow none
-# because their requests may not be repeated.
-NOT_RUN_RETRIES = 2
 # Pause before a home that could not be reached is tried again.
 HOME_BACK_OFF_S = 0.05
 
@@ -401,15 +398,12 @@
     def _allows_retry(self, run: _Run, result: AttemptResult) -> bool:
         if isinstance(result, NotRun) and result.reason in _FINAL_REASONS:
             return False
-        retries_allowed = run.rule.retries
-        if not run.is_repeatable:
-            retries_allowed = max(retries_allowed, NOT_RUN_RETRIES)
         return may_retry(
             AttemptState(
                 was_not_run=isinstance(result, NotRun | Moved),
                 is_repeatable=run.is_repeatable,
                 retries_made=run.retries_made,
-                retries_allowed=retries_allowed,
+                retries_allowed=run.rule.retries,
                 remaining_s=run.call.deadline_s - self._clock(),
             )
         )
