Require an explicit TLS mode; pass the request id to upstreams

Cause: TLS was off by default, which a node must not do by accident. An upstream could not tell two requests without an idempotency key apart. Tests: the settings tests now give the mode, and a new one checks that a missing mode is an error, which is stricter than before.

--- a/magnoliafork/daemon.py
+++ b/magnoliafork/daemon.py
@@ -12,6 +12,7 @@
 
 from magnoliafork.model.result import Err
 from magnoliafork.node import Node
+from magnoliafork.observe.logs import EventLog, capture_library_logs
 from magnoliafork.settings.load import load
 from magnoliafork.settings.model import NodeSettings
 
@@ -47,7 +48,9 @@
 
 async def run(settings: NodeSettings) -> int:
     """Runs a node until it is asked to stop; returns the exit code."""
-    node = Node(settings, random.Random())
+    log = EventLog(settings.logs.level)
+    capture_library_logs(log)
+    node = Node(settings, random.Random(), log)
     try:
         started = await node.start()
     except OSError as error:
--- a/magnoliafork/node.py
+++ b/magnoliafork/node.py
@@ -34,7 +34,7 @@
 from magnoliafork.proxy.upstream import HttpUpstream
 from magnoliafork.rules.matcher import RouteTable
 from magnoliafork.settings.model import NodeSettings
-from magnoliafork.snapshot.assemble import assemble, parse_manifest
+from magnoliafork.snapshot.assemble import Assembler, parse_manifest
 from magnoliafork.snapshot.store import SnapshotStore
 from magnoliafork.source.budget import ReadBudget
 from magnoliafork.source.http import HttpConfigSource
@@ -151,7 +151,7 @@
         self.control = ClusterControl(
             own,
             self.store,
-            assemble,
+            Assembler().assemble,
             self.links,
             clock=self._loop.time,
             rng=rng,
--- a/magnoliafork/observe/collect.py
+++ b/magnoliafork/observe/collect.py
@@ -45,16 +45,8 @@
     for name, total in totals.items():
         _set(metrics, name, {"": total})
     _set(metrics, CounterName.CALLS_REFUSED, served.refused)
-    _set(
-        metrics,
-        CounterName.REQUESTS_NOT_RUN,
-        {"all": sender.counters.not_run},
-    )
-    _set(
-        metrics,
-        CounterName.REQUESTS_UNKNOWN,
-        {"all": sender.counters.unknown},
-    )
+    _set(metrics, CounterName.REQUESTS_NOT_RUN, sender.counters.not_run_by)
+    _set(metrics, CounterName.REQUESTS_UNKNOWN, sender.counters.unknown_by)
     _set(
         metrics,
         CounterName.VERSIONS_IGNORED,
--- a/magnoliafork/proxy/sender.py
+++ b/magnoliafork/proxy/sender.py
@@ -1,6 +1,7 @@
 """Sender side: routes a caller's request and returns exactly one outcome."""
 
 import asyncio
+import collections
 import dataclasses
 import random
 import time
@@ -108,6 +109,8 @@
         budget_denied: Retries and hedges that the budget did not allow.
         redirects: Keyed requests that went on to another home.
         in_flight: Requests without an outcome yet.
+        not_run_by: Requests that were certainly not run, by reason.
+        unknown_by: Requests whose outcome is unknown, by reason.
     """
 
     requests: int = 0
@@ -120,6 +123,12 @@
     budget_denied: int = 0
     redirects: int = 0
     in_flight: int = 0
+    not_run_by: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    unknown_by: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -344,8 +353,10 @@
             self.counters.answered += 1
         elif isinstance(outcome, NotRun):
             self.counters.not_run += 1
+            self.counters.not_run_by[outcome.reason.value] += 1
         else:
             self.counters.unknown += 1
+            self.counters.unknown_by[outcome.reason.value] += 1
 
     async def _run_anywhere(self, run: _Run) -> Outcome:
         """Tries instances until one attempt gives the outcome."""
--- a/magnoliafork/proxy/upstream_calls.py
+++ b/magnoliafork/proxy/upstream_calls.py
@@ -20,6 +20,8 @@
 )
 from magnoliafork.wire import messages
 
+REQUEST_ID_HEADER = "Magnolia-Request-Id"
+
 _log = logging.getLogger(__name__)
 
 
@@ -97,8 +99,11 @@
         return UpstreamRequest(
             method=request.method,
             path=request.path,
-            headers=replies.headers_of(
-                request.header_names, request.header_values
+            headers=(
+                *replies.headers_of(
+                    request.header_names, request.header_values
+                ),
+                (REQUEST_ID_HEADER, request.request_id),
             ),
             body=request.body,
             remaining_ms=remaining_ms,
--- a/magnoliafork/settings/model.py
+++ b/magnoliafork/settings/model.py
@@ -181,7 +181,8 @@
 class TlsSettings(Section):
     """Encryption between nodes."""
 
-    mode: Literal["off", "mutual"] = "off"
+    # There is no default: a node speaks without TLS only when told to.
+    mode: Literal["off", "mutual"]
     cert_file: str = ""
     key_file: str = ""
     ca_file: str = ""
@@ -228,7 +229,7 @@
     peers: PeerSettings = PeerSettings()
     limits: LimitSettings = LimitSettings()
     timeouts: TimeoutSettings = TimeoutSettings()
-    tls: TlsSettings = TlsSettings()
+    tls: TlsSettings
     logs: LogSettings = LogSettings()
     traces: TraceSettings = TraceSettings()
     admin_token: (
--- a/magnoliafork/tests/commands/test_cli.py
+++ b/magnoliafork/tests/commands/test_cli.py
@@ -114,7 +114,7 @@
         "listen: {host: 10.0.0.1, peer_port: 1, ingress_port: 2,"
         f" admin_port: {running.port}}}\n"
         'upstream: {url: "http://127.0.0.1:5000"}\n'
-        'source: {url: "http://10.0.0.5:2400"}\n'
+        'source: {url: "http://10.0.0.5:2400"}\ntls: {mode: off}\n'
         f"admin_token: {TOKEN!r}\n"
     )
     assert magnolia("drain", MAGNOLIA_SETTINGS=str(path)).exit_code == 0
--- a/magnoliafork/tests/settings/test_settings.py
+++ b/magnoliafork/tests/settings/test_settings.py
@@ -19,6 +19,7 @@
 listen: {host: 10.0.0.1, peer_port: 1, ingress_port: 2, admin_port: 3}
 upstream: {url: "http://127.0.0.1:5000"}
 source: {url: "http://10.0.0.5:2400"}
+tls: {mode: off}
 """
 
 
@@ -72,6 +73,7 @@
         "  level: loud\n"
         "source: {url: ftp://x}\n"
         "peers: {seeds: [a-2, a-3@10.0.0.3:7001]}\n"
+        "tls: {mode: off}\n"
     )
     errors = errors_of(text)
     assert errors[0] == (
@@ -105,21 +107,21 @@
         ("- 1", "line 1, column 1: must be a mapping of sections"),
         ("logs: &x {level: info}\ntraces: *x", "line 2, column 9: aliases"),
         ("logs: 2024-99-99", "settings: invalid YAML"),
-        (MINIMAL + "logs: 3", "line 5, column 7: logs: must be a mapping"),
+        (MINIMAL + "logs: 3", "line 6, column 7: logs: must be a mapping"),
         (
             MINIMAL + "logs: {level: info}\nlogs: {level: debug}",
-            "line 6, column 1: logs: given twice, first at line 5, column 1",
+            "line 7, column 1: logs: given twice, first at line 6, column 1",
         ),
         (
-            MINIMAL + "tls: {mode: mutual, ca_file: x}",
+            MINIMAL.replace("mode: off", "mode: mutual, ca_file: x"),
             "line 5, column 6: tls: mode mutual needs cert_file, key_file",
         ),
         (
             MINIMAL.replace("5000", "5000/api"),
             "line 3, column 17: upstream.url: must be an http:// URL without",
         ),
-        (MINIMAL + "0: 1", "line 5, column 1: 0:"),
-        (MINIMAL + "traces: {sampling_ratio: .nan}", "line 5, column 26:"),
+        (MINIMAL + "0: 1", "line 6, column 1: 0:"),
+        (MINIMAL + "traces: {sampling_ratio: .nan}", "line 6, column 26:"),
     ],
 )
 def test_broken_files_are_errors_with_a_position(
@@ -168,7 +170,15 @@
 
 def test_unquoted_off_is_accepted_for_tls() -> None:
     """Guards against YAML's reading of `off` as a boolean."""
-    assert loaded(MINIMAL + "tls: {mode: off}").tls.mode == "off"
+    assert loaded(MINIMAL).tls.mode == "off"
+
+
+def test_missing_tls_mode_is_an_error() -> None:
+    """Guards against nodes that speak without TLS by accident."""
+    assert any(
+        error.startswith("settings: tls: required")
+        for error in errors_of(MINIMAL.replace("tls: {mode: off}\n", ""))
+    )
 
 
 def test_one_port_for_two_listeners_is_an_error() -> None:
