--- a/magnoliafork/standins/load.py
+++ b/magnoliafork/standins/load.py
@@ -118,20 +118,28 @@
         self._count += 1
         mark = f"{self._count}-{self._rng.getrandbits(64):x}"
         call = _Call(pattern, mark, mark if pattern.is_keyed else "")
+        # A request that was certainly not run may be sent as a first attempt
+        # again; after any other outcome a run is possible.
+        is_first = True
         for attempt in range(1, MAX_ATTEMPTS + 1):
-            record = await self._send(session, call, attempt)
+            record = await self._send(session, call, attempt, is_first)
             self.records.append(record)
             if record.outcome == "answered" or not pattern.is_keyed:
                 return
+            is_first = is_first and record.outcome == "not-run"
             await asyncio.sleep(REPEAT_PAUSE_S)
 
     async def _send(
-        self, session: aiohttp.ClientSession, call: _Call, attempt: int
+        self,
+        session: aiohttp.ClientSession,
+        call: _Call,
+        attempt: int,
+        is_first: bool,
     ) -> CallRecord:
         headers = {}
         if call.key:
             headers["Idempotency-Key"] = call.key
-            headers["Magnolia-Attempt"] = str(attempt)
+            headers["Magnolia-Attempt"] = "1" if is_first else str(attempt)
         started_s = asyncio.get_running_loop().time()
         outcome = "failed"
         status = 0
