Review lost links before their peers can be suspected

A seed peer that closed hundreds of links after the start of a fleet made its former neighbours start probes, and some live members were suspected.

--- a/magnoliafork/cluster/control.py
+++ b/magnoliafork/cluster/control.py
@@ -242,7 +242,7 @@
             self._retried_dead = (self._rng.choice(dead),)
 
     def _review_lost_link(self) -> None:
-        """Releases one peer per tick whose links do not include this node.
+        """Decides for one lost link per tick whether its peer is missing.
 
         Both ends of a link notice a death, since a node that nobody chose
         would die unnoticed. Choosing for another node takes about 5 ms at
@@ -252,8 +252,8 @@
             return
         peer_id = next(iter(self._lost_links))
         del self._lost_links[peer_id]
-        if self._self_id not in choose_neighbours(self.table, peer_id):
-            self.detector.release(peer_id)
+        peers_choice = choose_neighbours(self.table, peer_id)
+        self.detector.review(peer_id, self._self_id in peers_choice)
 
     # Membership.
 
--- a/magnoliafork/cluster/detector.py
+++ b/magnoliafork/cluster/detector.py
@@ -42,6 +42,7 @@
     sent_s: float
     is_linked: bool = False
     is_target: bool = False
+    is_under_review: bool = False
     is_expected_back: bool = False
     probe_id: int = 0
     probe_deadline_s: float = 0.0
@@ -121,23 +122,29 @@
         """Starts heartbeats on a new link."""
         watch = self._watch(peer_id, now_s)
         watch.is_linked = True
+        watch.is_under_review = False
         watch.is_expected_back = False
         self._note_heard(peer_id, watch, now_s)
         self._send_heartbeat(peer_id, watch, now_s)
 
     def on_link_down(self, peer_id: str) -> None:
-        """Keeps watching a peer that lost its link until it is released."""
+        """Keeps a peer that lost its link, unjudged, until its review."""
         self.peer_loads.pop(peer_id, None)
         watch = self._watches.get(peer_id)
         if watch is not None:
             watch.is_linked = False
-            watch.is_expected_back = True
+            watch.is_under_review = True
 
-    def release(self, peer_id: str) -> None:
-        """Stops watching a peer that had no reason to keep its link."""
+    def review(self, peer_id: str, is_expected_back: bool) -> None:
+        """Goes on watching a peer only if it should have kept its link.
+
+        Closing links that are no longer needed must not start probes: a seed
+        peer loses hundreds of links when a fleet has started.
+        """
         watch = self._watches.get(peer_id)
-        if watch is not None:
-            watch.is_expected_back = False
+        if watch is not None and watch.is_under_review:
+            watch.is_under_review = False
+            watch.is_expected_back = is_expected_back
             self._drop_unneeded(peer_id, watch)
 
     def on_heard(self, peer_id: str, now_s: float) -> None:
@@ -247,6 +254,8 @@
         for peer_id, watch in list(self._watches.items()):
             if now_s - watch.heard_s < SILENCE_LIMIT_S:
                 continue
+            if watch.is_under_review and not watch.is_target:
+                continue
             suspect = self._judge(peer_id, watch, now_s)
             if suspect is not None:
                 suspects.append(suspect)
@@ -377,5 +386,6 @@
         return watch
 
     def _drop_unneeded(self, peer_id: str, watch: _Watch) -> None:
-        if not (watch.is_linked or watch.is_target or watch.is_expected_back):
+        is_needed = watch.is_linked or watch.is_target
+        if not (is_needed or watch.is_under_review or watch.is_expected_back):
             self._watches.pop(peer_id, None)
