Review lost links only after their peers were silent

Right after a start the tables of two nodes differ, and an early review took links that were closed for good as missing. The test counts probes: none may be sent when seed peers close the links of a fleet of 60.

--- a/magnoliafork/cluster/control.py
+++ b/magnoliafork/cluster/control.py
@@ -4,7 +4,11 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
-from magnoliafork.cluster.detector import Detector, LoadHint
+from magnoliafork.cluster.detector import (
+    SILENCE_LIMIT_S,
+    Detector,
+    LoadHint,
+)
 from magnoliafork.cluster.dissemination import (
     Assemble,
     Dissemination,
@@ -94,7 +98,7 @@
         self._reported: dict[Version, float] = {}
         self._targets: tuple[str, ...] | None = None
         self._pending: dict[str, tuple[Member, str]] = {}
-        self._lost_links: dict[str, None] = {}
+        self._lost_links: dict[str, float] = {}
         self._is_synced = False
         self._mismatch_since_s: dict[str, float] = {}
         self._table_changed_s = now_s
@@ -195,7 +199,7 @@
         self.dissemination.tick(now_s)
         self.is_joined(now_s)
         self._retry_dead(now_s)
-        self._review_lost_link()
+        self._review_lost_link(now_s)
         self._sync_if_needed(now_s)
         self._flush()
         self._update_targets()
@@ -241,19 +245,24 @@
         if dead:
             self._retried_dead = (self._rng.choice(dead),)
 
-    def _review_lost_link(self) -> None:
+    def _review_lost_link(self, now_s: float) -> None:
         """Decides for one lost link per tick whether its peer is missing.
 
         Both ends of a link notice a death, since a node that nobody chose
-        would die unnoticed. Choosing for another node takes about 5 ms at
-        2,300 members, too long to do for all links at once.
+        would die unnoticed. The review waits as long as heartbeats may be
+        missing: right after a start, the two nodes' tables differ. Choosing
+        for another node takes about 5 ms at 2,300 members, too long to do
+        for all links at once.
         """
-        if not self._lost_links:
-            return
-        peer_id = next(iter(self._lost_links))
-        del self._lost_links[peer_id]
-        peers_choice = choose_neighbours(self.table, peer_id)
-        self.detector.review(peer_id, self._self_id in peers_choice)
+        for peer_id, lost_s in list(self._lost_links.items()):
+            if now_s - lost_s < SILENCE_LIMIT_S:
+                return
+            del self._lost_links[peer_id]
+            if self.detector.is_under_review(peer_id):
+                peers_choice = choose_neighbours(self.table, peer_id)
+                is_expected_back = self._self_id in peers_choice
+                self.detector.review(peer_id, is_expected_back)
+                return
 
     # Membership.
 
@@ -421,7 +430,8 @@
         self._mismatch_since_s.pop(instance_id, None)
         self.dissemination.on_link_down(instance_id, now_s)
         self.detector.on_link_down(instance_id)
-        self._lost_links[instance_id] = None
+        self._lost_links.pop(instance_id, None)
+        self._lost_links[instance_id] = now_s
 
     # Results of the source reader.
 
--- a/magnoliafork/cluster/detector.py
+++ b/magnoliafork/cluster/detector.py
@@ -135,6 +135,11 @@
             watch.is_linked = False
             watch.is_under_review = True
 
+    def is_under_review(self, peer_id: str) -> bool:
+        """Whether a peer lost its link and is not judged yet."""
+        watch = self._watches.get(peer_id)
+        return watch is not None and watch.is_under_review
+
     def review(self, peer_id: str, is_expected_back: bool) -> None:
         """Goes on watching a peer only if it should have kept its link.
 
