--- a/magnoliafork/tests/proxy/test_receiver.py
+++ b/magnoliafork/tests/proxy/test_receiver.py
@@ -309,13 +309,18 @@
     virtual_time.run(main())
 
 
-def test_restarted_home_does_not_vouch_for_its_previous_process() -> None:
-    # Guards I8 when the home crashes after the run and comes back empty.
+@pytest.mark.parametrize("is_home_first", [True, False])
+def test_restarted_home_does_not_vouch_for_its_previous_process(
+    is_home_first: bool,
+) -> None:
+    # Guards I8 when the home crashes after the run and comes back empty, also
+    # when another instance has asked it in between.
     async def main() -> None:
         peers = FakePeers()
         home = make_node(FIRST, peers=peers, fresh=True)
         others = [make_node(n, peers=peers) for n in (SECOND, THIRD)]
-        for node in (home, *others):
+        nodes = (home, *others) if is_home_first else (*others, home)
+        for node in nodes:
             call = make_call(KEY, keyed=True)
             reply = await node.receiver.on_call("s", call)
             assert reason(reply) in (UnknownReason.HOME_CHANGED, "moved")
--- a/magnoliafork/tests/proxy/test_receiver_history.py
+++ b/magnoliafork/tests/proxy/test_receiver_history.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import gc
 import random
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
@@ -20,7 +21,7 @@
 from magnoliafork.model.instance import MemberState
 from magnoliafork.model.request import NotRunReason, UnknownReason
 from magnoliafork.proxy import replies
-from magnoliafork.proxy.homes import Homes
+from magnoliafork.proxy.homes import Claim, Homes
 from magnoliafork.proxy.once import OnceCalls
 from magnoliafork.proxy.receiver import Receiver
 from magnoliafork.proxy.standing import Standing
@@ -150,7 +151,14 @@
             yield f"stop: {event}"
 
 
+def _errors(events: list[Event]) -> Iterator[str]:
+    for event in events:
+        if event.kind == "error":
+            yield f"error: {event}"
+
+
 RULES = (
+    _errors,
     _runs_per_request,
     _not_run,
     _load,
@@ -311,6 +319,12 @@
     def now(self) -> float:
         return self.loop.time()
 
+    def log_error(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        detail = repr(context.get("exception"))
+        self.events.append(Event("error", self.now(), detail=detail))
+
     def next_number(self) -> int:
         self.numbers += 1
         return self.numbers
@@ -593,7 +607,9 @@
 def run_history(seed: int) -> list[Event]:
     async def main() -> list[Event]:
         world = World(seed)
+        world.loop.set_exception_handler(world.log_error)
         await world.live()
+        gc.collect()
         return world.events
 
     return virtual_time.run(main())
@@ -621,7 +637,13 @@
 
 
 def _run_first_attempts_anyway(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(Standing, "takes_new_work", lambda *_: False)
+    original = OnceCalls._judge
+
+    def judge(self: OnceCalls, job: Any, claim: Claim) -> Any:
+        is_first = job.request.is_first_attempt
+        return None if is_first else original(self, job, claim)
+
+    patch.setattr(OnceCalls, "_judge", judge)
 
 
 def _keep_no_tombstones(patch: pytest.MonkeyPatch) -> None:
@@ -662,6 +684,10 @@
     patch.setattr(OnceCalls, "_wait", wait)
 
 
+def _lose_entries(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Ledger, "start", lambda *_: True)
+
+
 def _cut_on_stop(patch: pytest.MonkeyPatch) -> None:
     original = Receiver.drained
     patch.setattr(Receiver, "drained", lambda self, _: original(self, 0))
@@ -681,6 +707,7 @@
         (_cross_answers, "answer"),
         (_ignore_deadlines, "deadline"),
         (_cut_on_stop, "stop"),
+        (_lose_entries, "error"),
     ],
 )
 def test_checker_finds_planted_faults(
