--- a/magnoliafork/proxy/homes.py
+++ b/magnoliafork/proxy/homes.py
@@ -7,7 +7,7 @@
 
 from magnoliafork.admission.ledger import KEEP_OUTCOME_S
 from magnoliafork.balance.home import rank
-from magnoliafork.model.instance import Instance, MemberState
+from magnoliafork.model.instance import Instance, Member, MemberState
 from magnoliafork.model.request import NotRunReason, UnknownReason
 from magnoliafork.model.view import MembershipView
 from magnoliafork.proxy import replies
@@ -87,8 +87,7 @@
         return {
             other_id
             for other_id in ordered
-            if other_id != own_id
-            and not self._is_long_dead(other_id, known[other_id].state)
+            if other_id != own_id and not self._is_long_gone(known[other_id])
         }
 
     async def claim(
@@ -165,9 +164,15 @@
         is_moved = reply.reason == NotRunReason.MOVED
         return is_moved and reply.moved_to == self._instance.instance_id
 
-    def _is_long_dead(self, other_id: str, state: MemberState) -> bool:
-        if state is not MemberState.DEAD:
+    def _is_long_gone(self, member: Member) -> bool:
+        """Returns whether an instance keeps no outcome any more.
+
+        An instance that only the platform's list has named for that long has
+        never been heard by any node.
+        """
+        if member.state is not MemberState.DEAD and member.incarnation != 0:
             return False
+        other_id = member.instance.instance_id
         age_s = self._members.state_age_s(other_id, self._now())
         return age_s > KEEP_OUTCOME_S
 
--- a/magnoliafork/tests/proxy/test_receiver.py
+++ b/magnoliafork/tests/proxy/test_receiver.py
@@ -351,6 +351,27 @@
     virtual_time.run(main())
 
 
+def test_long_gone_instances_are_not_asked() -> None:
+    # Guards against keyed requests that stay unknown because of an instance
+    # that will never answer.
+    async def main() -> None:
+        for state, incarnation in (
+            (MemberState.DEAD, 1),
+            (MemberState.ALIVE, 0),
+        ):
+            node = make_node(SECOND)
+            home = make_instance(FIRST)
+            call = make_call(KEY, keyed=True)
+            node.members.put(home, incarnation, state, age_s=119)
+            reply = await node.receiver.on_call("s", call)
+            assert reason(reply) == UnknownReason.HOME_CHANGED
+            await asyncio.sleep(2)
+            reply = await node.receiver.on_call("s", call)
+            assert isinstance(reply, CallAnswer)
+
+    virtual_time.run(main())
+
+
 def test_two_claims_at_once_do_not_wait_for_each_other() -> None:
     # Guards against a deadlock until the deadline, and against two runs.
     async def main() -> None:
