--- a/magnoliafork/proxy/homes.py
+++ b/magnoliafork/proxy/homes.py
@@ -69,7 +69,7 @@
         own_id = self._instance.instance_id
         return rank(request_id, (own_id, other_id))[0] != own_id
 
-    def candidates(self, request_id: str, eligible_for_s: float) -> set[str]:
+    def candidates(self, request_id: str, eligible_for_s: float) -> list[str]:
         """Returns the instances that may have run a request before.
 
         Args:
@@ -84,66 +84,34 @@
         ordered = rank(request_id, {*known, own_id})
         if eligible_for_s >= POSSIBLE_HOME_S:
             ordered = ordered[: ordered.index(own_id)]
-        return {
+        return [
             other_id
             for other_id in ordered
             if other_id != own_id and not self._is_long_gone(known[other_id])
-        }
+        ]
 
     async def claim(
         self, request_id: str, first: Iterable[str], deadline_s: float
     ) -> Claim:
         """Binds a request to this instance at the other possible homes."""
-        asked: collections.Counter[str] = collections.Counter()
-        waiting = set(first)
+        state = _ClaimState(self._instance.instance_id, list(first))
         asking: dict[asyncio.Task[_FenceResult], str] = {}
-        handed_over: set[str] = set()
-        restarted: set[str] = set()
-        unreachable: set[str] = set()
-        fallback: replies.Settled | None = None
         try:
-            while waiting or asking:
-                for other_id in waiting:
-                    asked[other_id] += 1
+            while state.waiting or asking:
+                for other_id in state.take_waiting():
                     ask = self._ask(other_id, request_id, deadline_s)
                     asking[asyncio.create_task(ask)] = other_id
-                waiting = set()
                 done, _ = await asyncio.wait(
                     asking, return_when=asyncio.FIRST_COMPLETED
                 )
-                for task in done:
-                    other_id = asking.pop(task)
-                    reply = task.result()
-                    settled = _settled_by(reply)
-                    if settled == _RESTARTED:
-                        fallback = settled
-                        continue
+                for task in [task for task in asking if task in done]:
+                    settled = state.note(asking.pop(task), task.result())
                     if settled is not None:
                         return Claim(settled)
-                    if self._is_handed_over(reply):
-                        handed_over.add(other_id)
-                        continue
-                    if _is_restarted(reply):
-                        restarted.add(other_id)
-                        continue
-                    next_id = _next_to_ask(other_id, reply)
-                    if next_id in handed_over or next_id in restarted:
-                        continue
-                    if next_id in asking.values() or next_id in waiting:
-                        continue
-                    if _may_ask(next_id, asked) and _is_reply(reply):
-                        waiting.add(next_id)
-                    else:
-                        unreachable.add(next_id)
         finally:
             for task in asking:
                 task.cancel()
-        return Claim(
-            fallback,
-            frozenset(handed_over),
-            frozenset(restarted),
-            frozenset(unreachable),
-        )
+        return state.claim()
 
     async def _ask(
         self, other_id: str, request_id: str, deadline_s: float
@@ -156,14 +124,6 @@
             self._instance.instance_id,
         )
 
-    def _is_handed_over(self, reply: _FenceResult) -> bool:
-        if isinstance(reply, messages.CallFenceReply):
-            return reply.state == messages.FenceState.NEVER_RAN
-        if not isinstance(reply, messages.CallRefused):
-            return False
-        is_moved = reply.reason == NotRunReason.MOVED
-        return is_moved and reply.moved_to == self._instance.instance_id
-
     def _is_long_gone(self, member: Member) -> bool:
         """Returns whether an instance keeps no outcome any more.
 
@@ -177,6 +137,77 @@
         return age_s > KEEP_OUTCOME_S
 
 
+class _ClaimState:
+    """Replies to one claim so far, and who is to be asked next."""
+
+    def __init__(self, own_id: str, first: list[str]) -> None:
+        self._own_id = own_id
+        self._asked: collections.Counter[str] = collections.Counter()
+        self._asking: set[str] = set()
+        self._handed_over: set[str] = set()
+        self._restarted: set[str] = set()
+        self._unreachable: set[str] = set()
+        self._fallback: replies.Settled | None = None
+        self.waiting = first
+
+    def take_waiting(self) -> list[str]:
+        """Returns the instances to ask now."""
+        taken = self.waiting
+        self.waiting = []
+        self._asked.update(taken)
+        self._asking.update(taken)
+        return taken
+
+    def note(
+        self, other_id: str, reply: _FenceResult
+    ) -> replies.Settled | None:
+        """Notes a reply; returns the outcome if the reply tells it."""
+        self._asking.discard(other_id)
+        settled = _settled_by(reply)
+        if settled == _RESTARTED:
+            self._fallback = settled
+            return None
+        if settled is not None:
+            return settled
+        if self._is_handed_over(reply):
+            self._handed_over.add(other_id)
+        elif _is_restarted(reply):
+            self._restarted.add(other_id)
+        elif isinstance(reply, LinkFailure):
+            self._unreachable.add(other_id)
+        else:
+            self._ask_next(_next_to_ask(other_id, reply))
+        return None
+
+    def claim(self) -> Claim:
+        """Returns the result once nobody is left to ask."""
+        return Claim(
+            self._fallback,
+            frozenset(self._handed_over),
+            frozenset(self._restarted),
+            frozenset(self._unreachable),
+        )
+
+    def _is_handed_over(self, reply: _FenceResult) -> bool:
+        if isinstance(reply, messages.CallFenceReply):
+            return reply.state == messages.FenceState.NEVER_RAN
+        if not isinstance(reply, messages.CallRefused):
+            return False
+        is_moved = reply.reason == NotRunReason.MOVED
+        return is_moved and reply.moved_to == self._own_id
+
+    def _ask_next(self, other_id: str) -> None:
+        if other_id in self._handed_over or other_id in self._restarted:
+            return
+        if other_id in self._asking or other_id in self.waiting:
+            return
+        is_allowed = self._asked.total() < MAX_ASKED
+        if is_allowed and self._asked[other_id] < MAX_ROUNDS:
+            self.waiting.append(other_id)
+        else:
+            self._unreachable.add(other_id)
+
+
 def _settled_by(
     reply: _FenceResult,
 ) -> replies.Settled | None:
@@ -198,15 +229,7 @@
     return reply.state == messages.FenceState.OTHER_INCARNATION
 
 
-def _is_reply(reply: _FenceResult) -> bool:
-    return not isinstance(reply, LinkFailure)
-
-
-def _may_ask(other_id: str, asked: collections.Counter[str]) -> bool:
-    return asked[other_id] < MAX_ROUNDS and asked.total() < MAX_ASKED
-
-
-def _next_to_ask(other_id: str, reply: _FenceResult) -> str:
+def _next_to_ask(other_id: str, reply: messages.StreamReply) -> str:
     """Returns who knows more after an inconclusive reply."""
     if not isinstance(reply, messages.CallRefused):
         return other_id
--- a/magnoliafork/proxy/once.py
+++ b/magnoliafork/proxy/once.py
@@ -285,8 +285,8 @@
         others = self._homes.candidates(
             request.request_id, self._standing.eligible_for_s()
         )
-        if job.moved_from:
-            others.add(job.moved_from)
+        if job.moved_from and job.moved_from not in others:
+            others.append(job.moved_from)
         claim = Claim()
         if others:
             self._counters.home_checks += 1
--- a/magnoliafork/tests/proxy/test_receiver_history.py
+++ b/magnoliafork/tests/proxy/test_receiver_history.py
@@ -249,7 +249,7 @@
         self.is_up = True
         self.boot_s = world.now()
         self.boot_number = 1
-        self.running: set[asyncio.Future[None]] = set()
+        self.running: dict[int, asyncio.Future[None]] = {}
 
     def bearable(self) -> int:
         age_s = self.world.now() - self.boot_s + MIN_RESTART_S
@@ -257,7 +257,7 @@
 
     async def restart(self) -> None:
         self.is_up = False
-        for running in self.running:
+        for running in self.running.values():
             if not running.done():
                 running.set_result(None)
         down_s = self.world.random.choice([MIN_RESTART_S, 1, 5])
@@ -284,12 +284,12 @@
         load = (process.active, self.bearable())
         process.log("run", request_id, int(delivery), load)
         broke = asyncio.get_running_loop().create_future()
-        self.running.add(broke)
+        self.running[id(broke)] = broke
         latency_s = self.world.random.choice([0.01, 0.05, 0.2, 1.5])
         try:
             await asyncio.wait({broke}, timeout=latency_s)
         finally:
-            self.running.discard(broke)
+            del self.running[id(broke)]
             process.active -= 1
         if broke.done() or chance > 0.98:
             return UpstreamUnknown(UnknownReason.UPSTREAM_BROKE, "")
@@ -633,7 +633,7 @@
 
 
 def _ask_no_other_home(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(Homes, "candidates", lambda *_: set())
+    patch.setattr(Homes, "candidates", lambda *_: [])
 
 
 def _run_first_attempts_anyway(patch: pytest.MonkeyPatch) -> None:
