Measure the latency that two nodes add

`magnolia bench` runs the measurements of the registry, prints each figure as a JSON line and writes build/bench.md and build/bench.svg. A measurement that fails is reported, and the others still run.

--- /dev/null
+++ b/magnoliafork/bench/added_latency.py
@@ -0,0 +1,262 @@
+"""Latency that two node processes add to a direct call."""
+
+import asyncio
+import dataclasses
+import json
+import socket
+import time
+
+import aiohttp
+import yaml
+
+from magnoliafork.bench.figure import Figure, Measurement
+from magnoliafork.bench.processes import Processes
+from magnoliafork.model.instance import Instance
+from magnoliafork.model.result import Err
+from magnoliafork.rules.build import build
+from magnoliafork.standins.audit import quantile
+from magnoliafork.standins.ports import free_ports
+from magnoliafork.standins.publish import publish, publish_instances
+from magnoliafork.standins.source_server import SourceServer
+
+HOST = "127.0.0.1"
+RATES_PER_S = (50, 120, 250, 500, 800)
+TARGET_ADDED_P99_MS = 1.1
+READY_TIMEOUT_S = 20.0
+CALL_TIMEOUT_S = 5.0
+# The receiver's limit must not be part of the measurement: the ramp is over
+# at once and the slots exceed the calls in flight.
+RULES = """
+zone hall  # Bench
+service front slots=500 connections=500 ramp=1s ramp-start=500  # Bench
+service orders slots=500 connections=500 ramp=1s ramp-start=500  # Bench
+route GET * /orders/* -> orders deadline=5s  # Bench
+"""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Sizes of one run.
+
+    Attributes:
+        warm_up_s: Time of calls that are not counted.
+        block_s: Time of calls in one direction before the other has its turn.
+        blocks: Blocks per direction and rate.
+    """
+
+    warm_up_s: float
+    block_s: float
+    blocks: int
+
+
+QUICK = Plan(warm_up_s=0.3, block_s=0.2, blocks=2)
+FULL = Plan(warm_up_s=3.0, block_s=1.0, blocks=8)
+
+
+@dataclasses.dataclass(slots=True)
+class Latencies:
+    """Times of the calls in one direction and the calls that failed."""
+
+    times_s: list[float] = dataclasses.field(default_factory=list)
+    failed: int = 0
+
+    def quantile_ms(self, fraction: float) -> float:
+        """Returns a quantile of the times."""
+        return quantile(sorted(self.times_s), fraction) * 1000
+
+
+def figures_of_rate(
+    rate_per_s: int, direct: Latencies, through: Latencies
+) -> list[Figure]:
+    """Returns the figures of one rate beside those of direct calls."""
+    variant = f"{rate_per_s} calls/s"
+    found: list[Figure] = []
+    for name, fraction in (("p50", 0.5), ("p99", 0.99)):
+        value = round(through.quantile_ms(fraction), 3)
+        baseline = round(direct.quantile_ms(fraction), 3)
+        found.append(
+            Figure(f"latency_{name}", variant, 2, value, "ms", baseline)
+        )
+        added = round(value - baseline, 3)
+        target = TARGET_ADDED_P99_MS if name == "p99" else None
+        found.append(
+            Figure(f"added_latency_{name}", variant, 2, added, "ms", target)
+        )
+    failed = float(through.failed)
+    found.append(
+        Figure(
+            "added_latency_failed", variant, 2, failed, "calls", direct.failed
+        )
+    )
+    return found
+
+
+async def measure(is_quick: bool) -> list[Figure]:
+    """Calls an upstream process directly and through two node processes.
+
+    The value of a latency is through the nodes, its baseline is direct. The
+    baseline of the added p99 is the target.
+    """
+    plan = QUICK if is_quick else FULL
+    source = SourceServer()
+    source_port = await source.start(HOST, 0)
+    try:
+        with Processes() as processes:
+            urls = await _start(processes, source, source_port)
+            return await _measure_rates(plan, *urls)
+    finally:
+        await source.stop()
+
+
+async def _measure_rates(
+    plan: Plan, direct_url: str, through_url: str
+) -> list[Figure]:
+    connector = aiohttp.TCPConnector(limit=0)
+    timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+    found: list[Figure] = []
+    async with aiohttp.ClientSession(
+        connector=connector, timeout=timeout
+    ) as session:
+        for url in (direct_url, through_url):
+            await _call_block(session, url, 120, plan.warm_up_s, Latencies())
+        for rate_per_s in RATES_PER_S:
+            direct = Latencies()
+            through = Latencies()
+            for _ in range(plan.blocks):
+                for url, latencies in (
+                    (direct_url, direct),
+                    (through_url, through),
+                ):
+                    await _call_block(
+                        session, url, rate_per_s, plan.block_s, latencies
+                    )
+            found += figures_of_rate(rate_per_s, direct, through)
+    return found
+
+
+async def _call_block(
+    session: aiohttp.ClientSession,
+    url: str,
+    rate_per_s: int,
+    block_s: float,
+    latencies: Latencies,
+) -> None:
+    """Starts calls at even intervals, whether earlier ones have ended or not.
+
+    The count is fixed, so that a slow path cannot lower the rate unnoticed.
+    """
+    loop = asyncio.get_running_loop()
+    start_s = loop.time()
+    async with asyncio.TaskGroup() as group:
+        for index in range(round(rate_per_s * block_s)):
+            at_s = start_s + index / rate_per_s
+            await asyncio.sleep(max(0.0, at_s - loop.time()))
+            group.create_task(_call(session, url, latencies))
+
+
+async def _call(
+    session: aiohttp.ClientSession, url: str, latencies: Latencies
+) -> None:
+    start_s = time.perf_counter()
+    try:
+        async with session.get(url) as response:
+            await response.read()
+            is_answered = response.status == 200
+    except (aiohttp.ClientError, TimeoutError):
+        is_answered = False
+    if is_answered:
+        latencies.times_s.append(time.perf_counter() - start_s)
+    else:
+        latencies.failed += 1
+
+
+async def _start(
+    processes: Processes, source: SourceServer, source_port: int
+) -> tuple[str, str]:
+    """Starts the processes; returns the URLs of both ways to the upstream."""
+    upstream_port, *node_ports = free_ports(7)
+    nodes = [
+        Instance(f"{service}-1", service, "hall", "bench", HOST, port)
+        for service, port in zip(
+            ("front", "orders"), node_ports[::3], strict=True
+        )
+    ]
+    _publish(source, nodes)
+    processes.start("magnoliafork.bench.upstream_process", str(upstream_port))
+    await processes.wait_until(lambda: _accepts(upstream_port), READY_TIMEOUT_S)
+    for index, node in enumerate(nodes):
+        _, ingress_port, admin_port = node_ports[3 * index : 3 * index + 3]
+        settings = {
+            "instance": {
+                "instance_id": node.instance_id,
+                "service": node.service,
+                "zone": node.zone,
+                "region": node.region,
+            },
+            "listen": {
+                "host": HOST,
+                "peer_port": node.peer_port,
+                "ingress_port": ingress_port,
+                "admin_port": admin_port,
+            },
+            "upstream": {"url": f"http://{HOST}:{upstream_port}"},
+            "source": {
+                "url": f"http://{HOST}:{source_port}",
+                "fleet_size_floor": len(nodes),
+            },
+            "peers": {
+                "seeds": [
+                    f"{peer.instance_id}@{HOST}:{peer.peer_port}"
+                    for peer in nodes
+                    if peer is not node
+                ]
+            },
+            "logs": {"level": "error"},
+        }
+        path = processes.folder / f"{node.instance_id}.yaml"
+        path.write_text(yaml.safe_dump(settings), "utf-8")
+        processes.start("magnoliafork.daemon", "--settings", str(path))
+    through_url = f"http://{HOST}:{node_ports[1]}/orders/1"
+    await _wait_answered(processes, through_url)
+    return f"http://{HOST}:{upstream_port}/orders/1", through_url
+
+
+def _publish(source: SourceServer, nodes: list[Instance]) -> None:
+    built = build(RULES, 1)
+    if isinstance(built, Err):
+        raise AssertionError(f"rules are invalid: {built.errors[0]}")
+    publish(source, built.value.manifest, built.value.parts)
+    publish_instances(source, nodes)
+
+
+def _accepts(port: int) -> bool:
+    with socket.socket() as probe:
+        return probe.connect_ex((HOST, port)) == 0
+
+
+async def _wait_answered(processes: Processes, url: str) -> None:
+    """Waits until calls through both nodes are answered."""
+    is_answered = False
+
+    async def poll() -> None:
+        nonlocal is_answered
+        async with aiohttp.ClientSession() as session:
+            while not is_answered:
+                await asyncio.sleep(0.1)
+                try:
+                    async with session.get(url) as response:
+                        body = await response.read()
+                        is_answered = response.status == 200
+                        if is_answered:
+                            json.loads(body)
+                except aiohttp.ClientError:
+                    continue
+
+    polling = asyncio.create_task(poll())
+    try:
+        await processes.wait_until(lambda: is_answered, READY_TIMEOUT_S)
+    finally:
+        polling.cancel()
+
+
+MEASUREMENTS: tuple[Measurement, ...] = (measure,)
--- /dev/null
+++ b/magnoliafork/tests/bench/test_report.py
@@ -0,0 +1,67 @@
+"""Registry, figures and reports of the bench."""
+
+import asyncio
+import io
+import pathlib
+
+import pytest
+
+from magnoliafork.bench import added_latency, registry
+from magnoliafork.bench.figure import Figure
+from magnoliafork.bench.report import to_markdown
+from magnoliafork.commands import bench as command
+
+
+async def _broken(is_quick: bool) -> list[Figure]:
+    raise RuntimeError("a process ended")
+
+
+async def _sound(is_quick: bool) -> list[Figure]:
+    return [Figure("size", "quick" if is_quick else "full", 0, 1.0, "B")]
+
+
+def test_a_failed_measurement_does_not_hide_the_others() -> None:
+    """Guards against a run that loses figures, or hides a failure."""
+    output = io.StringIO()
+    figures, failed = asyncio.run(command.run([_broken, _sound], True, output))
+    assert [figure.variant for figure in figures] == ["quick"]
+    assert failed == 1
+    assert "a process ended" in output.getvalue()
+
+
+def test_the_command_writes_both_reports_and_reports_a_failure(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against reports that are missing after a partly failed run."""
+    monkeypatch.chdir(tmp_path)
+    monkeypatch.setattr(
+        registry, "measurements", lambda is_capacity: [_sound, _broken]
+    )
+    assert command.bench(False, False, io.StringIO()) == 1
+    assert "| size | full |" in (tmp_path / "build/bench.md").read_text()
+    assert "<svg" in (tmp_path / "build/bench.svg").read_text()
+
+
+def test_every_module_of_the_registry_is_collected() -> None:
+    """Guards against a measurement that exists and never runs."""
+    found = registry.measurements(is_capacity=False)
+    assert added_latency.MEASUREMENTS[0] in found
+
+
+def test_a_zero_baseline_has_no_ratio() -> None:
+    """Guards against a division by zero at the end of a long run."""
+    text = to_markdown([Figure("shed", "ours", 0, 3.0, "calls", 0.0)], "Run")
+    assert "| 3 | 0 | calls |  |" in text
+
+
+def test_added_latency_is_the_difference_of_quantiles() -> None:
+    """Guards against a quantile over unsorted times or mixed-up sides."""
+    direct = added_latency.Latencies([0.003, 0.001, 0.002])
+    through = added_latency.Latencies([0.005, 0.004, 0.002], failed=2)
+    figures = added_latency.figures_of_rate(50, direct, through)
+    by_name = {figure.name: figure for figure in figures}
+    assert by_name["latency_p50"].value == 4.0
+    assert by_name["latency_p50"].baseline == 2.0
+    assert by_name["added_latency_p99"].value == 2.0
+    assert by_name["added_latency_p99"].baseline == 1.1
+    assert by_name["added_latency_failed"].value == 2.0
