Measure the service quality of a zone move

The plain senders call the same stand-ins directly, learn of the move at once and retry by our rules without a budget, so that only choice, queue and ramp differ.

--- /dev/null
+++ b/magnoliafork/bench/zone_move.py
@@ -0,0 +1,322 @@
+"""Service quality while an availability zone leaves and returns."""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Iterable, Sequence
+
+from magnoliafork.bench.direct import (
+    ANSWERED,
+    NOT_RUN,
+    DirectCallers,
+    LeastConnections,
+    Picker,
+    RetryRule,
+    RoundRobin,
+    route_of,
+    route_table,
+)
+from magnoliafork.bench.figure import Figure, Measurement
+from magnoliafork.standins.audit import quantile
+from magnoliafork.standins.deployments import LANAUDIERE, DeploymentSpec
+from magnoliafork.standins.fleet import HOST, Fleet
+from magnoliafork.standins.load import Callers, CallRecord
+from magnoliafork.standins.upstream_server import UpstreamServer
+
+SEED = 20_261_204
+# Share of the remaining slots that the most used service needs while the zone
+# is out.
+UTILIZATION = 0.85
+OURS = "ours"
+ROUND_ROBIN = "round robin"
+LEAST_CONNECTIONS = "least connections"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Times and rate of one run.
+
+    Attributes:
+        rate_per_s: Rate of the callers.
+        warm_up_s: Time at a tenth of the rate, longer than the cold start of
+            the upstreams and the ramp of the nodes.
+        before_s: Time at the full rate before the zone goes out.
+        out_s: Time without the zone.
+        back_s: Time after its return.
+        is_concurrent: Whether all variants run side by side.
+    """
+
+    rate_per_s: float
+    warm_up_s: float
+    before_s: float
+    out_s: float
+    back_s: float
+    is_concurrent: bool
+
+
+# Three variants side by side keep the quick run short; the rate is lower
+# because they share one event loop.
+QUICK = Plan(90.0, 4.5, 1.5, 2.5, 3.0, is_concurrent=True)
+FULL = Plan(150.0, 6.0, 10.0, 12.0, 15.0, is_concurrent=False)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Quality:
+    """What callers saw.
+
+    Attributes:
+        calls: Requests that were in progress when the zone left or started
+            later.
+        failed: Requests of these without an answer that may have run.
+        shed: Requests of these that were not run.
+        p99_before_ms: Latency of answers before the zone left.
+        p99_during_ms: Latency of answers from then on.
+        falls: Times that an upstream fell over from overload, from then on.
+    """
+
+    calls: int
+    failed: int
+    shed: int
+    p99_before_ms: float
+    p99_during_ms: float
+    falls: int
+
+
+def quality(
+    records: Sequence[CallRecord], out_at_s: float, falls: int
+) -> Quality:
+    """Returns what callers saw from the time when the zone left."""
+    before: list[CallRecord] = []
+    during: list[CallRecord] = []
+    for record in records:
+        has_ended = record.started_s + record.took_s < out_at_s
+        (before if has_ended else during).append(record)
+    shed = sum(record.outcome == NOT_RUN for record in during)
+    answered = sum(_is_answered(record) for record in during)
+    return Quality(
+        calls=len(during),
+        failed=len(during) - answered - shed,
+        shed=shed,
+        p99_before_ms=_p99_ms(before),
+        p99_during_ms=_p99_ms(during),
+        falls=falls,
+    )
+
+
+def figures(by_variant: dict[str, Quality], nodes: int) -> list[Figure]:
+    """Returns the figures of all variants.
+
+    The baseline of a p99 is the one before the zone left. The baseline of our
+    counts is the better one of the plain senders.
+    """
+    found: list[Figure] = []
+    plain = [q for name, q in by_variant.items() if name != OURS]
+    for variant, seen in by_variant.items():
+        count = nodes if variant == OURS else 0
+
+        def add(
+            name: str,
+            value: float,
+            unit: str,
+            baseline: float | None,
+            variant: str = variant,
+            count: int = count,
+        ) -> None:
+            name = f"zone_move_{name}"
+            found.append(Figure(name, variant, count, value, unit, baseline))
+
+        add("calls", seen.calls, "calls", None)
+        for name in ("failed", "shed", "falls"):
+            best = min(getattr(other, name) for other in plain)
+            baseline = best if variant == OURS else None
+            unit = "falls" if name == "falls" else "calls"
+            add(name, getattr(seen, name), unit, baseline)
+        add("p99", seen.p99_during_ms, "ms", seen.p99_before_ms)
+    return found
+
+
+def tight_service_time_s(spec: DeploymentSpec, rate_per_s: float) -> float:
+    """Returns the service time that makes the remaining zones tight.
+
+    The rate is bounded by this machine, so the upstreams are slowed down.
+    """
+    table = route_table(spec.rules)
+    weights: dict[str, int] = {}
+    for pattern in spec.patterns:
+        service = route_of(table, pattern).targets[0].service
+        weights[service] = weights.get(service, 0) + pattern.weight
+    share = max(weights.values()) / sum(weights.values())
+    slots_left = spec.slots * (spec.servers_per_service - 1)
+    return UTILIZATION * slots_left / (rate_per_s * share)
+
+
+def _tight_spec(rate_per_s: float) -> DeploymentSpec:
+    # Callers repeat nothing, so that every request that was shed counts.
+    patterns = tuple(
+        dataclasses.replace(pattern, is_keyed=False)
+        for pattern in LANAUDIERE.patterns
+    )
+    return dataclasses.replace(
+        LANAUDIERE,
+        patterns=patterns,
+        service_time_s=tight_service_time_s(LANAUDIERE, rate_per_s),
+    )
+
+
+async def _ours(spec: DeploymentSpec, plan: Plan) -> Quality:
+    rng = random.Random(SEED)
+    fleet = Fleet(spec, rng)
+    zone = spec.moved_zone
+    try:
+        await fleet.start()
+        if not await fleet.wait_ready():
+            raise RuntimeError("the fleet did not get ready")
+        targets = [site.url for site in fleet.sites.values()]
+        warm_up = Callers(spec.patterns, plan.rate_per_s / 10, rng)
+        warm_up.targets = targets
+        await warm_up.run_until(_now_s() + plan.warm_up_s)
+        callers = Callers(spec.patterns, plan.rate_per_s, rng)
+        callers.targets = targets
+        out_at_s = _now_s() + plan.before_s
+        back_at_s = out_at_s + plan.out_s
+        load = asyncio.create_task(callers.run_until(back_at_s + plan.back_s))
+        await _sleep_until(out_at_s)
+        falls_before = _falls(fleet.upstreams.values())
+        fleet.publish(
+            spec.rules.replace(f"zone {zone} ", f"zone {zone} out ", 1)
+        )
+        await _sleep_until(back_at_s)
+        for key, site in fleet.sites.items():
+            if site.instance.zone == zone:
+                fleet.upstreams[key].fall_back_cold()
+        fleet.publish(spec.rules)
+        await load
+        falls = _falls(fleet.upstreams.values()) - falls_before
+        return quality(callers.records, out_at_s, falls)
+    finally:
+        await fleet.stop()
+
+
+class _Upstreams:
+    """The upstreams of a deployment without nodes."""
+
+    def __init__(self, spec: DeploymentSpec) -> None:
+        self._spec = spec
+        self._servers: dict[str, dict[str, UpstreamServer]] = {}
+        self._zones: dict[str, str] = {}
+        self._urls: dict[str, str] = {}
+
+    async def start(self) -> None:
+        spec = self._spec
+        for service in spec.services:
+            self._servers[service] = {}
+            for number in range(spec.servers_per_service):
+                key = f"{service}-{number + 1}"
+                server = UpstreamServer(spec.behaviour(service, key))
+                self._servers[service][key] = server
+                self._zones[key] = spec.zones[number % len(spec.zones)]
+                port = await server.start(HOST, 0)
+                self._urls[key] = f"http://{HOST}:{port}"
+
+    def targets(self, zone_out: str = "") -> dict[str, dict[str, str]]:
+        return {
+            service: {
+                key: self._urls[key]
+                for key in servers
+                if self._zones[key] != zone_out
+            }
+            for service, servers in self._servers.items()
+        }
+
+    def fall_back_cold(self, zone: str) -> None:
+        for servers in self._servers.values():
+            for key, server in servers.items():
+                if self._zones[key] == zone:
+                    server.fall_back_cold()
+
+    def falls(self) -> int:
+        return sum(_falls(item.values()) for item in self._servers.values())
+
+    async def stop(self) -> None:
+        for servers in self._servers.values():
+            for server in servers.values():
+                await server.stop()
+
+
+async def _plain(spec: DeploymentSpec, plan: Plan, picker: Picker) -> Quality:
+    """Runs a plain sender, which learns of the move without any delay."""
+    rng = random.Random(SEED)
+    zone = spec.moved_zone
+    table = route_table(spec.rules)
+    upstreams = _Upstreams(spec)
+
+    def callers_at(rate_per_s: float) -> DirectCallers:
+        callers = DirectCallers(
+            table, spec.patterns, rate_per_s, rng, picker, RetryRule.CAREFUL
+        )
+        callers.targets = upstreams.targets()
+        return callers
+
+    try:
+        await upstreams.start()
+        warm_up = callers_at(plan.rate_per_s / 10)
+        await warm_up.run_until(_now_s() + plan.warm_up_s)
+        callers = callers_at(plan.rate_per_s)
+        out_at_s = _now_s() + plan.before_s
+        back_at_s = out_at_s + plan.out_s
+        load = asyncio.create_task(callers.run_until(back_at_s + plan.back_s))
+        await _sleep_until(out_at_s)
+        falls_before = upstreams.falls()
+        callers.targets = upstreams.targets(zone_out=zone)
+        await _sleep_until(back_at_s)
+        upstreams.fall_back_cold(zone)
+        callers.targets = upstreams.targets()
+        await load
+        falls = upstreams.falls() - falls_before
+        return quality(callers.records, out_at_s, falls)
+    finally:
+        await upstreams.stop()
+
+
+async def measure(is_quick: bool) -> list[Figure]:
+    """Moves a zone of one deployment out and back while callers call."""
+    plan = QUICK if is_quick else FULL
+    spec = _tight_spec(plan.rate_per_s)
+    picker = LeastConnections(random.Random(SEED))
+    runs = {
+        OURS: _ours(spec, plan),
+        ROUND_ROBIN: _plain(spec, plan, RoundRobin()),
+        LEAST_CONNECTIONS: _plain(spec, plan, picker),
+    }
+    if plan.is_concurrent:
+        seen = list(await asyncio.gather(*runs.values()))
+    else:
+        seen = [await run for run in runs.values()]
+    nodes = len(spec.services) * spec.servers_per_service
+    return figures(dict(zip(runs, seen, strict=True)), nodes)
+
+
+def _falls(upstreams: Iterable[UpstreamServer]) -> int:
+    return sum(upstream.fall_count for upstream in upstreams)
+
+
+def _is_answered(record: CallRecord) -> bool:
+    return record.outcome == ANSWERED and record.status < 500
+
+
+def _p99_ms(records: Sequence[CallRecord]) -> float:
+    times_s = sorted(
+        record.took_s for record in records if _is_answered(record)
+    )
+    return round(quantile(times_s, 0.99) * 1000, 1)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+async def _sleep_until(at_s: float) -> None:
+    await asyncio.sleep(at_s - _now_s())
+
+
+MEASUREMENTS: tuple[Measurement, ...] = (measure,)
