--- /dev/null
+++ b/magnoliafork/bench/retry_amplification.py
@@ -0,0 +1,258 @@
+"""Attempts at upstreams per request while a third of the instances fail."""
+
+import asyncio
+import collections
+import dataclasses
+import enum
+import random
+from collections.abc import Iterable, Sequence
+
+from aiohttp import web
+
+from magnoliafork.bench.direct import (
+    ANSWERED,
+    DirectCallers,
+    RetryRule,
+    RoundRobin,
+    route_table,
+)
+from magnoliafork.bench.figure import Figure, Measurement
+from magnoliafork.standins.deployments import LANAUDIERE, DeploymentSpec
+from magnoliafork.standins.fleet import HOST, Fleet
+from magnoliafork.standins.load import Callers, CallRecord
+from magnoliafork.standins.upstream_model import UpstreamBehaviour
+from magnoliafork.standins.upstream_server import UpstreamServer
+
+SEED = 20_261_204
+RATE_PER_S = 80.0
+WARM_UP_S = 1.0
+QUICK_S = 1.5
+FULL_S = 8.0
+
+
+class Fault(enum.StrEnum):
+    """How an upstream fails every request."""
+
+    CUT = "connections cut"
+    REFUSED = "refused as not run"
+    ERROR = "error answers"
+
+
+class FaultyUpstream(UpstreamServer):
+    """Upstream that fails every request while it has a fault.
+
+    Attributes:
+        attempts: Requests that reached the upstream.
+        fault: Current fault, or None.
+    """
+
+    def __init__(self, behaviour: UpstreamBehaviour) -> None:
+        """Creates an upstream without a fault."""
+        super().__init__(behaviour)
+        self.attempts = 0
+        self.fault: Fault | None = None
+
+    async def _handle_request(self, request: web.Request) -> web.Response:
+        self.attempts += 1
+        match self.fault:
+            case None:
+                return await super()._handle_request(request)
+            case Fault.REFUSED:
+                return self._shed("fault")
+            case Fault.CUT if request.transport is not None:
+                request.transport.abort()
+        return web.Response(status=500)
+
+
+class _FaultyFleet(Fleet):
+    """Deployment whose upstreams can be made to fail."""
+
+    async def _start_upstream(self, instance_id: str) -> None:
+        service = self.sites[instance_id].instance.service
+        upstream = FaultyUpstream(self.spec.behaviour(service, instance_id))
+        port = await upstream.start(HOST, 0)
+        self.upstreams[instance_id] = upstream
+        self._upstream_urls[instance_id] = f"http://{HOST}:{port}"
+
+    def faulty_upstreams(self) -> list[FaultyUpstream]:
+        return [
+            upstream
+            for upstream in self.upstreams.values()
+            if isinstance(upstream, FaultyUpstream)
+        ]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Amplification:
+    """What a fault did to requests.
+
+    Attributes:
+        attempts_per_request: Requests at upstreams per caller's request.
+        failed_percent: Share of the requests without a good answer.
+    """
+
+    attempts_per_request: float
+    failed_percent: float
+
+
+def amplification(
+    records: Sequence[CallRecord], attempts: int
+) -> Amplification:
+    """Returns the attempts per request and the share that failed."""
+    failed = sum(
+        record.outcome != ANSWERED or record.status >= 500 for record in records
+    )
+    count = max(1, len(records))
+    return Amplification(
+        attempts_per_request=round(attempts / count, 3),
+        failed_percent=round(100 * failed / count, 2),
+    )
+
+
+def failing_third(services: Sequence[str], count: int) -> set[str]:
+    """Returns every third instance of each service, shifted per service.
+
+    The shift spreads the failures over the zones; one zone that fails as a
+    whole is another measurement.
+
+    >>> sorted(failing_third(["a", "b"], 3))
+    ['a-1', 'b-2']
+    """
+    return {
+        f"{service}-{number + 1}"
+        for index, service in enumerate(services)
+        for number in range(count)
+        if number % 3 == index % 3
+    }
+
+
+async def _ours(
+    spec: DeploymentSpec, fault: Fault, seconds: float
+) -> Amplification:
+    rng = random.Random(SEED)
+    fleet = _FaultyFleet(spec, rng)
+    try:
+        await fleet.start()
+        if not await fleet.wait_ready():
+            raise RuntimeError("the fleet did not get ready")
+        targets = [site.url for site in fleet.sites.values()]
+        warm_up = Callers(spec.patterns, RATE_PER_S, rng)
+        warm_up.targets = targets
+        await warm_up.run_until(_now_s() + WARM_UP_S)
+        upstreams = fleet.faulty_upstreams()
+        attempts_before = _begin_fault(spec, upstreams, fault)
+        callers = Callers(spec.patterns, RATE_PER_S, rng)
+        callers.targets = targets
+        await callers.run_until(_now_s() + seconds)
+        attempts = _attempts(upstreams) - attempts_before
+        return amplification(callers.records, attempts)
+    finally:
+        await fleet.stop()
+
+
+async def _plain(
+    spec: DeploymentSpec, fault: Fault, seconds: float
+) -> Amplification:
+    rng = random.Random(SEED)
+    upstreams: list[FaultyUpstream] = []
+    targets: dict[str, dict[str, str]] = collections.defaultdict(dict)
+    try:
+        for service in spec.services:
+            for number in range(spec.servers_per_service):
+                key = f"{service}-{number + 1}"
+                upstream = FaultyUpstream(spec.behaviour(service, key))
+                upstreams.append(upstream)
+                port = await upstream.start(HOST, 0)
+                targets[service][key] = f"http://{HOST}:{port}"
+        table = route_table(spec.rules)
+
+        def callers() -> DirectCallers:
+            started = DirectCallers(
+                table,
+                spec.patterns,
+                RATE_PER_S,
+                rng,
+                RoundRobin(),
+                RetryRule.PLAIN,
+            )
+            started.targets = targets
+            return started
+
+        await callers().run_until(_now_s() + WARM_UP_S)
+        attempts_before = _begin_fault(spec, upstreams, fault)
+        measured = callers()
+        await measured.run_until(_now_s() + seconds)
+        attempts = _attempts(upstreams) - attempts_before
+        return amplification(measured.records, attempts)
+    finally:
+        for upstream in upstreams:
+            await upstream.stop()
+
+
+def _begin_fault(
+    spec: DeploymentSpec, upstreams: Sequence[FaultyUpstream], fault: Fault
+) -> int:
+    """Makes a third fail; returns the attempts so far."""
+    failing = failing_third(spec.services, spec.servers_per_service)
+    for upstream in upstreams:
+        if upstream.behaviour.instance_id in failing:
+            upstream.fault = fault
+    return _attempts(upstreams)
+
+
+def _attempts(upstreams: Iterable[FaultyUpstream]) -> int:
+    return sum(upstream.attempts for upstream in upstreams)
+
+
+async def _measure_fault(
+    spec: DeploymentSpec, fault: Fault, is_quick: bool
+) -> list[Figure]:
+    seconds = QUICK_S if is_quick else FULL_S
+    runs = (_ours(spec, fault, seconds), _plain(spec, fault, seconds))
+    if is_quick:
+        ours, plain = await asyncio.gather(*runs)
+    else:
+        ours, plain = [await run for run in runs]
+    nodes = len(spec.services) * spec.servers_per_service
+    return [
+        Figure(
+            "retry_amplification",
+            fault.value,
+            nodes,
+            ours.attempts_per_request,
+            "attempts per request",
+            plain.attempts_per_request,
+        ),
+        Figure(
+            "retry_failed",
+            fault.value,
+            nodes,
+            ours.failed_percent,
+            "% of requests",
+            plain.failed_percent,
+        ),
+    ]
+
+
+async def measure(is_quick: bool) -> list[Figure]:
+    """Compares our senders with three plain retries at every failure.
+
+    The plain sender repeats requests that may have run, payments too.
+    """
+    # Callers repeat nothing, so that every attempt is the sender's.
+    patterns = tuple(
+        dataclasses.replace(pattern, is_keyed=False)
+        for pattern in LANAUDIERE.patterns
+    )
+    spec = dataclasses.replace(LANAUDIERE, patterns=patterns)
+    found: list[Figure] = []
+    for fault in (Fault.CUT,) if is_quick else tuple(Fault):
+        found += await _measure_fault(spec, fault, is_quick)
+    return found
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+MEASUREMENTS: tuple[Measurement, ...] = (measure,)
