--- a/magnoliafork/cluster/dissemination.py
+++ b/magnoliafork/cluster/dissemination.py
@@ -41,6 +41,8 @@
 FAILED_PEER_DELAY_S = 10.0
 # At 0.11 changes/s, ten minutes of versions can be served as deltas.
 REMEMBERED_MANIFESTS = 64
+# Peers report only their newest version, so older ones are not asked for.
+REMEMBERED_UNSUPPORTED = 64
 # Thrift field headers, lengths and the digest of one manifest entry.
 _ENTRY_OVERHEAD_BYTES = 100
 _CONTENT_OVERHEAD_BYTES = 8
@@ -342,6 +344,8 @@
         elif reply.format not in SUPPORTED_FORMATS:
             version = Version(reply.version_number, reply.version_digest)
             self._unsupported[version] = None
+            if len(self._unsupported) > REMEMBERED_UNSUPPORTED:
+                del self._unsupported[next(iter(self._unsupported))]
             self._abandon(0.0, now_s)
         elif not _collect(incoming, reply):
             self._fail(peer_id, now_s)
