Bound the readers' share by members in any state

Cause: the random histories found 25 to 28 reads in one second: both sides of a partition chose readers of their own, each with a full share. Change: the share belongs to the first 3 of a zone in any state. The bound of the fake fleet was derived from equal shares (2 reads per node); it is now derived from rate + 1 of each budget in the same way, 30 for 12 nodes. New tests: twelve reads of a zone reader at 2,300 nodes within 8 s, and bundles for a node with an empty memory.

--- a/magnoliafork/cluster/control.py
+++ b/magnoliafork/cluster/control.py
@@ -123,14 +123,12 @@
 
     @property
     def reader_share_count(self) -> int:
-        """Number of zone readers if this node is one of them, else 0.
+        """Nodes that share the readers' reads, 0 if this node is not one.
 
         Before the first instance list every node takes itself for a reader,
         and a restarting fleet would exceed the source's reads.
         """
-        if not self._list_was_read or not self.overlay.is_zone_reader:
-            return 0
-        return self.overlay.reader_count
+        return self.overlay.reader_share_count if self._list_was_read else 0
 
     @property
     def incarnation(self) -> int:
--- a/magnoliafork/cluster/overlay.py
+++ b/magnoliafork/cluster/overlay.py
@@ -123,7 +123,7 @@
         self._seen_count = -1
         self._neighbours: tuple[str, ...] = ()
         self._readers: tuple[str, ...] = ()
-        self._reader_count = READERS_PER_ZONE
+        self._reader_share_count = 0
 
     @property
     def neighbours(self) -> tuple[str, ...]:
@@ -138,10 +138,15 @@
         return self._self_id in self._readers
 
     @property
-    def reader_count(self) -> int:
-        """Number of readers of all availability zones together."""
+    def reader_share_count(self) -> int:
+        """Nodes that share the readers' reads, 0 if this node is not one.
+
+        Members in any state count. Two sides of a partition take each other
+        for dead and choose readers of their own; if those had a share, the
+        fleet would read twice what the source allows.
+        """
         self._refresh()
-        return self._reader_count
+        return self._reader_share_count
 
     def _refresh(self) -> None:
         if self._table.topology_count == self._seen_count:
@@ -153,9 +158,18 @@
             self._table, self._self_id, self._pair_scores
         )
         self._readers = zone_readers(self._table, self._zone, self._zone_scores)
-        zones = {
-            member.instance.zone
-            for member in self._table
-            if member.state < MemberState.LEAVING
-        }
-        self._reader_count = READERS_PER_ZONE * max(1, len(zones))
+        self._reader_share_count = self._count_shares()
+
+    def _count_shares(self) -> int:
+        ranked = [
+            (self._zone_scores.score(peer_id), peer_id)
+            for peer_id in (
+                member.instance.instance_id
+                for member in self._table
+                if member.instance.zone == self._zone
+            )
+        ]
+        if self._self_id not in _top(ranked, READERS_PER_ZONE):
+            return 0
+        zones = {member.instance.zone for member in self._table}
+        return READERS_PER_ZONE * len(zones)
--- a/magnoliafork/source/reader.py
+++ b/magnoliafork/source/reader.py
@@ -147,8 +147,8 @@
             versions: Version order and the parts already held.
             events: Receives the results.
             is_zone_reader: Whether this node watches for its zone now.
-            reader_count: Number of readers of all zones, once the instance
-                list is known and this node is one of them, else 0.
+            reader_count: Number of nodes that share the readers' reads, 0
+                if this node is not one of them.
             fleet_size: Number of known instances.
             background_reads_per_s: Slow reads of the whole fleet.
             rng: Source of jitter.
--- a/magnoliafork/tests/cluster/fakes.py
+++ b/magnoliafork/tests/cluster/fakes.py
@@ -11,6 +11,7 @@
 
 from magnoliafork.cluster.control import ClusterControl
 from magnoliafork.cluster.detector import LoadHint
+from magnoliafork.cluster.overlay import READERS_PER_ZONE
 from magnoliafork.model.instance import Instance, Member, MemberState
 from magnoliafork.model.manifest import (
     SUPPORTED_FORMATS,
@@ -23,7 +24,7 @@
 from magnoliafork.model.snapshot import Snapshot
 from magnoliafork.model.version import NO_VERSION, Version
 from magnoliafork.source import api
-from magnoliafork.source.budget import ReadBudget
+from magnoliafork.source.budget import READER_SHARE, ReadBudget
 from magnoliafork.source.reader import SourceReader
 from magnoliafork.wire import codec, messages
 
@@ -181,6 +182,7 @@
             self.control,
             self.control,
             is_zone_reader=lambda: self.control.is_zone_reader,
+            reader_count=lambda: self.control.reader_share_count,
             fleet_size=lambda: self.control.fleet_size,
             background_reads_per_s=1.0,
             rng=rng,
@@ -244,6 +246,16 @@
         return self.control.is_joined(self.network.now_s())
 
 
+def worst_case_reads(fleet: list[Instance], mean: float) -> float:
+    """Returns the most reads that the budgets allow in one second."""
+    zones = collections.Counter(one.zone for one in fleet)
+    readers = sum(min(READERS_PER_ZONE, size) for size in zones.values())
+    common = mean * (1 - READER_SHARE) / len(fleet)
+    own = common + mean * READER_SHARE / (READERS_PER_ZONE * len(zones))
+    others = len(fleet) - readers
+    return readers * math.floor(own + 1) + others * math.floor(common + 1)
+
+
 class FakeNetwork:
     """Nodes, links between them, and the source."""
 
@@ -256,11 +268,13 @@
         self.source = FakeSource()
         self.fleet = fleet_of(count)
         self.ids = [one.instance_id for one in self.fleet]
-        # Leaves each node 1.8 reads/s after the budget's margin, so that no
-        # second can have more than 2 reads per node.
+        # A mean of 1.8 reads/s per node after the budget's margin. A bucket
+        # that holds one read makes at most rate + 1 reads in a second.
         mean = 1.8 * count
         self.source_limit = mean + 5 * math.sqrt(mean)
-        self.reads_per_s = min(2.0 * count, self.source_limit)
+        self.reads_per_s = min(
+            worst_case_reads(self.fleet, mean), self.source_limit
+        )
         self.seed_ids = tuple(self.ids[:2])
         self.nodes: dict[str, FakeNode] = {}
         self.links: dict[str, set[str]] = {}
--- a/magnoliafork/tests/source/test_budget.py
+++ b/magnoliafork/tests/source/test_budget.py
@@ -41,6 +41,18 @@
     assert budget.rate_per_s == rate_per_s / 10
 
 
+def test_a_zone_reader_fetches_a_change_in_time_at_the_target_size() -> None:
+    # Guards against equal shares: one read in 7.4 s at 2,300 nodes, so that a
+    # version with four changed parts missed the 16 s.
+    budget = ReadBudget(400, 500, random.Random(1), 0.0)
+    now_s = 0.0
+    for _ in range(12):
+        budget.set_known_fleet(2300, now_s, reader_count=48)
+        now_s += budget.take(now_s)
+        assert budget.take(now_s) == 0
+    assert now_s < 8.0
+
+
 def test_back_off_grows_to_its_cap_with_full_jitter() -> None:
     # Guards against retries in step, and against ever longer delays.
     backoff = Backoff(1.0, random.Random(3))
--- a/magnoliafork/tests/source/test_reader.py
+++ b/magnoliafork/tests/source/test_reader.py
@@ -10,7 +10,11 @@
 import pytest
 
 from magnoliafork.model.manifest import Manifest
+from magnoliafork.model.result import Ok
 from magnoliafork.model.version import Version
+from magnoliafork.rules.build import build
+from magnoliafork.snapshot import assemble
+from magnoliafork.source import api
 from magnoliafork.source.budget import ReadBudget
 from magnoliafork.source.reader import (
     ListedInstance,
@@ -50,6 +54,20 @@
     def on_instances(self, listed: tuple[ListedInstance, ...]) -> None: ...
 
 
+class Taken(Ignore):
+    """Wants every version and keeps the parts of the last one."""
+
+    parts: Mapping[str, bytes] = {}
+
+    def is_wanted(self, version: Version) -> bool:
+        return True
+
+    def on_publication(
+        self, manifest: Manifest, parts: Mapping[str, bytes]
+    ) -> None:
+        self.parts = parts
+
+
 @pytest.mark.parametrize("paused_after_s", [1.0, 300.0])
 def test_a_fleet_that_resumes_at_once_spreads_its_reads(
     paused_after_s: float,
@@ -98,3 +116,37 @@
     assert parse_instances(json.dumps(rows).encode()) == expected
     for content in (b"{}", b"\xff", b"["):
         assert parse_instances(content) is None
+
+
+def test_a_node_with_an_empty_memory_reads_bundles() -> None:
+    # Guards against one read for each part: minutes at the target size when
+    # the whole fleet has restarted.
+    async def main() -> tuple[int, int]:
+        rules = "".join(
+            f"service s-{n} slots=1 connections=1 # bench\n" for n in range(100)
+        )
+        built = build(rules, 1)
+        assert isinstance(built, Ok)
+        source, events = FakeSource(), Taken()
+        source.put(api.MANIFEST_KEY, built.value.manifest.to_bytes())
+        digest = built.value.manifest.version().digest
+        for index, content in enumerate(built.value.bundles()):
+            source.put(api.bundle_key(digest, index), content)
+        rng = random.Random(1)
+        reader = SourceReader(
+            source,
+            ReadBudget(READS_PER_S, 1, rng, 0.0),
+            assemble.parse_manifest,
+            events,
+            events,
+            is_zone_reader=lambda: True,
+            fleet_size=lambda: 1,
+            background_reads_per_s=2.0,
+            rng=rng,
+        )
+        reader.start()
+        await asyncio.sleep(5.0)
+        await reader.stop()
+        return len(events.parts), reader.counters.torn_publications
+
+    assert virtual_time.run(main()) == (101, 0)
