--- a/magnoliafork/bench/direct.py
+++ b/magnoliafork/bench/direct.py
@@ -12,7 +12,7 @@
 import aiohttp
 
 from magnoliafork.model.result import Err
-from magnoliafork.model.rules import RouteRule
+from magnoliafork.model.rules import RouteRule, RuleSet
 from magnoliafork.rules.build import build
 from magnoliafork.rules.matcher import RouteTable
 from magnoliafork.snapshot.assemble import assemble
@@ -31,15 +31,20 @@
 PLAIN_RETRIES = 3
 
 
-def route_table(rules: str) -> RouteTable:
-    """Returns the routes of a valid rules file."""
+def rule_set(rules: str) -> RuleSet:
+    """Returns the rules of a valid rules file."""
     built = build(rules, 1)
     if isinstance(built, Err):
         raise AssertionError(f"rules are invalid: {built.errors[0]}")
     assembled = assemble(built.value.manifest, built.value.parts)
     if isinstance(assembled, Err):
         raise AssertionError(f"rules are invalid: {assembled.errors[0]}")
-    return RouteTable(assembled.value.rules)
+    return assembled.value.rules
+
+
+def route_table(rules: str) -> RouteTable:
+    """Returns the routes of a valid rules file."""
+    return RouteTable(rule_set(rules))
 
 
 def route_of(table: RouteTable, pattern: CallPattern) -> RouteRule:
--- a/magnoliafork/tests/bench/test_report.py
+++ b/magnoliafork/tests/bench/test_report.py
@@ -7,6 +7,7 @@
 import pytest
 
 from magnoliafork.bench import added_latency, registry
+from magnoliafork.bench.direct import rule_set
 from magnoliafork.bench.figure import Figure
 from magnoliafork.bench.report import to_markdown
 from magnoliafork.commands import bench as command
@@ -54,6 +55,12 @@
     assert "| 3 | 0 | calls |  |" in text
 
 
+def test_nodes_may_keep_connections_to_the_upstream() -> None:
+    """Guards against measuring a new connection per call as added latency."""
+    rules = rule_set(added_latency.RULES).services
+    assert all(rule.connections >= 2 * rule.slots for rule in rules.values())
+
+
 def test_added_latency_is_the_difference_of_quantiles() -> None:
     """Guards against a quantile over unsorted times or mixed-up sides."""
     direct = added_latency.Latencies([0.003, 0.001, 0.002])
