--- a/magnoliafork/tests/bench/test_report.py
+++ b/magnoliafork/tests/bench/test_report.py
@@ -7,6 +7,7 @@
 import pytest
 
 from magnoliafork.bench import added_latency, registry
+from magnoliafork.bench.direct import rule_set
 from magnoliafork.bench.figure import Figure
 from magnoliafork.bench.report import to_markdown
 from magnoliafork.commands import bench as command
@@ -45,7 +46,15 @@
 def test_every_module_of_the_registry_is_collected() -> None:
     """Guards against a measurement that exists and never runs."""
     found = registry.measurements(is_capacity=False)
-    assert added_latency.MEASUREMENTS[0] in found
+    names = {getattr(item, "__module__", "") for item in found}
+    expected = {
+        "added_latency",
+        "choice_cost",
+        "zone_move",
+        "retry_amplification",
+        "trace_cost",
+    }
+    assert {f"{registry.PACKAGE}.{name}" for name in expected} <= names
 
 
 def test_a_zero_baseline_has_no_ratio() -> None:
@@ -54,6 +63,12 @@
     assert "| 3 | 0 | calls |  |" in text
 
 
+def test_nodes_may_keep_connections_to_the_upstream() -> None:
+    """Guards against measuring a new connection per call as added latency."""
+    rules = rule_set(added_latency.RULES).services
+    assert all(rule.connections >= 2 * rule.slots for rule in rules.values())
+
+
 def test_added_latency_is_the_difference_of_quantiles() -> None:
     """Guards against a quantile over unsorted times or mixed-up sides."""
     direct = added_latency.Latencies([0.003, 0.001, 0.002])
