--- a/magnoliafork/bench/registry.py
+++ b/magnoliafork/bench/registry.py
@@ -1,41 +1,39 @@
 """The measurements of the bench, in the order in which they run."""
 
-import importlib
-import importlib.util
-
+from magnoliafork.bench import (
+    added_latency,
+    capacity,
+    choice_cost,
+    control,
+    process_faults,
+    retry_amplification,
+    state,
+    trace_cost,
+    zone_move,
+)
 from magnoliafork.bench.figure import Measurement
 
-PACKAGE = "magnoliafork.bench"
-MODULES = (
-    "added_latency",
-    "choice_cost",
-    "zone_move",
-    "retry_amplification",
-    "trace_cost",
-    "control",
+BENCH = (
+    *added_latency.MEASUREMENTS,
+    *choice_cost.MEASUREMENTS,
+    *zone_move.MEASUREMENTS,
+    *retry_amplification.MEASUREMENTS,
+    *trace_cost.MEASUREMENTS,
+    *state.MEASUREMENTS,
+    *control.MEASUREMENTS,
 )
-CAPACITY_MODULES = ("capacity",)
+# Takes longer than the quick run has; part of the full run.
+FULL_ONLY = process_faults.MEASUREMENTS
 
 
-def measurements(is_capacity: bool) -> list[Measurement]:
+def measurements(is_capacity: bool, is_quick: bool) -> list[Measurement]:
     """Returns the measurements of the bench or of the capacity run.
 
-    A module that does not exist is passed over: the control side is developed
-    separately.
-
-    >>> len(measurements(is_capacity=False)) > 0
+    >>> len(measurements(is_capacity=False, is_quick=True)) > 5
     True
     """
-    modules = CAPACITY_MODULES if is_capacity else MODULES
-    found: list[Measurement] = []
-    for name in modules:
-        found += _of_module(f"{PACKAGE}.{name}")
-    return found
-
-
-def _of_module(name: str) -> tuple[Measurement, ...]:
-    if importlib.util.find_spec(name) is None:
-        return ()
-    module = importlib.import_module(name)
-    declared: tuple[Measurement, ...] = module.MEASUREMENTS
-    return declared
+    if is_capacity:
+        return list(capacity.MEASUREMENTS)
+    if is_quick:
+        return list(BENCH)
+    return [*BENCH, *FULL_ONLY]
--- a/magnoliafork/commands/bench.py
+++ b/magnoliafork/commands/bench.py
@@ -57,7 +57,7 @@
         0, or 1 if there was nothing to measure or a measurement failed.
     """
     start_s = time.monotonic()
-    measurements = registry.measurements(is_capacity)
+    measurements = registry.measurements(is_capacity, is_quick)
     figures, failed = asyncio.run(run(measurements, is_quick, output))
     took_s = time.monotonic() - start_s
     if not figures:
--- a/magnoliafork/proxy/homes.py
+++ b/magnoliafork/proxy/homes.py
@@ -83,13 +83,29 @@
         }
         ordered = rank(request_id, {*known, own_id})
         if eligible_for_s >= POSSIBLE_HOME_S:
-            ordered = ordered[: ordered.index(own_id)]
+            position = ordered.index(own_id)
+            below = ordered[position + 1 :]
+            ordered = ordered[:position] + self._changed_lately(below)
         return [
             other_id
             for other_id in ordered
             if other_id != own_id and not self._is_long_gone(known[other_id])
         ]
 
+    def _changed_lately(self, instance_ids: list[str]) -> list[str]:
+        """Returns the instances whose state has changed lately.
+
+        A lower-ranked instance that looks dead from here may be on the other
+        side of a partition, where this instance looks dead and the other one
+        has taken its keys.
+        """
+        now_s = self._now()
+        return [
+            other_id
+            for other_id in instance_ids
+            if self._members.state_age_s(other_id, now_s) < POSSIBLE_HOME_S
+        ]
+
     async def claim(
         self, request_id: str, first: Iterable[str], deadline_s: float
     ) -> Claim:
--- a/magnoliafork/proxy/once.py
+++ b/magnoliafork/proxy/once.py
@@ -128,13 +128,29 @@
             moved_from = entry.moved_to
         reason = self._standing.late_refusal(deadline_s)
         if reason is not None:
-            return replies.refused(reason)
+            return self._refuse_unasked(request, reason)
         if not self._ledger.start(request.request_id, digest, now_s):
             self._counters.ledger_full += 1
-            return replies.refused(NotRunReason.OVERLOADED)
+            return self._refuse_unasked(request, NotRunReason.OVERLOADED)
         job = self._start_job(request, moved_from, deadline_s)
         return await self._wait(job, deadline_s)
 
+    def _refuse_unasked(
+        self, request: messages.CallRequest, reason: NotRunReason
+    ) -> Settled:
+        """Refuses a request without asking its other possible homes.
+
+        A repeat may have run at one of them, so that "not run" would be
+        wrong for the caller even though it is true here.
+        """
+        if request.is_keyed and not request.is_first_attempt:
+            others = self._homes.candidates(
+                request.request_id, self._standing.eligible_for_s()
+            )
+            if others or self._standing.may_have_run_before():
+                return replies.unknown(UnknownReason.HOME_CHANGED)
+        return replies.refused(reason)
+
     async def fence(self, fence: messages.CallFence) -> Settled | FenceState:
         """Answers for one request or refuses it for ever."""
         request_id = fence.request_id
--- a/magnoliafork/tests/bench/test_report.py
+++ b/magnoliafork/tests/bench/test_report.py
@@ -6,10 +6,8 @@
 
 import pytest
 
-from magnoliafork.bench import added_latency, registry
-from magnoliafork.bench.direct import rule_set
+from magnoliafork.bench import capacity, registry
 from magnoliafork.bench.figure import Figure
-from magnoliafork.bench.report import to_markdown
 from magnoliafork.commands import bench as command
 
 
@@ -36,7 +34,9 @@
     """Guards against reports that are missing after a partly failed run."""
     monkeypatch.chdir(tmp_path)
     monkeypatch.setattr(
-        registry, "measurements", lambda is_capacity: [_sound, _broken]
+        registry,
+        "measurements",
+        lambda is_capacity, is_quick: [_sound, _broken],
     )
     assert command.bench(False, False, io.StringIO()) == 1
     assert "| size | full |" in (tmp_path / "build/bench.md").read_text()
@@ -44,17 +44,33 @@
 
 
 def test_every_module_of_the_registry_is_collected() -> None:
-    """Guards against a measurement that exists and never runs."""
-    found = registry.measurements(is_capacity=False)
-    names = {getattr(item, "__module__", "") for item in found}
-    expected = {
+    """Guards against a measurement that a bench run leaves out."""
+    found = registry.measurements(is_capacity=False, is_quick=False)
+    names = {item.__module__.rpartition(".")[2] for item in found}
+    assert names >= {
         "added_latency",
         "choice_cost",
         "zone_move",
         "retry_amplification",
         "trace_cost",
+        "state",
+        "control",
+        "process_faults",
     }
-    assert {f"{registry.PACKAGE}.{name}" for name in expected} <= names
+
+
+def test_capacity_page_keeps_its_text_around_the_table() -> None:
+    """Guards against a run that overwrites the text of the page."""
+    page = f"before\n{capacity.BEGIN}\nold\n{capacity.END}\nafter\n"
+    figures = [
+        Figure("tick_cost", "control", size, 10.0 + size / 100, "us")
+        for size in (100, 200, 400, 800)
+    ]
+    page = capacity.replace_table(page, capacity.table(figures))
+    assert page.startswith("before\n")
+    assert page.endswith("after\n")
+    assert "old" not in page
+    assert "| 0.01 | 0.0% | 33 |" in page
 
 
 def test_a_zero_baseline_has_no_ratio() -> None:
--- a/magnoliafork/tests/proxy/test_receiver.py
+++ b/magnoliafork/tests/proxy/test_receiver.py
@@ -351,6 +351,45 @@
     virtual_time.run(main())
 
 
+@pytest.mark.parametrize(
+    ("first", "expected"),
+    [(False, UnknownReason.HOME_CHANGED), (True, "answer")],
+)
+def test_home_in_a_partition_does_not_repeat_what_the_other_side_ran(
+    first: bool, expected: str
+) -> None:
+    # Guards I8: the other side takes this home for dead and has run the
+    # first attempt at the second home, which looks dead from here.
+    async def main() -> None:
+        node = make_node(FIRST)
+        node.members.put(make_instance(SECOND), state=MemberState.DEAD)
+        call = make_call(KEY, keyed=True, first=first)
+        reply = await node.receiver.on_call("s", call)
+        if expected == "answer":
+            assert isinstance(reply, CallAnswer)
+        else:
+            assert reason(reply) == expected
+            assert node.upstream.runs == []
+
+    virtual_time.run(main())
+
+
+def test_closed_home_does_not_call_an_unasked_repeat_not_run() -> None:
+    # Guards I7: a zone goes out right after the home has changed, and the
+    # home before may have run an earlier attempt.
+    async def main() -> None:
+        snapshot = make_snapshot(["joliette", "rawdon"])
+        node = make_node(SECOND, snapshot=snapshot)
+        repeat = make_call(KEY, keyed=True)
+        reply = await node.receiver.on_call("s", repeat)
+        assert reason(reply) == UnknownReason.HOME_CHANGED
+        attempt = make_call(KEY, keyed=True, first=True)
+        reply = await node.receiver.on_call("s", attempt)
+        assert reason(reply) == NotRunReason.ZONE_OUT
+
+    virtual_time.run(main())
+
+
 def test_long_gone_instances_are_not_asked() -> None:
     # Guards against keyed requests that stay unknown because of an instance
     # that will never answer.
