Log changes of the node's state; test whole nodes in virtual time

Change: a system that compares the node with its last tick and logs the differences; events and counters without a writer are gone; two tests of a fleet of three complete nodes, one of them with a zone move and a planned stop under load.

--- a/magnoliafork/bench/added_latency.py
+++ b/magnoliafork/bench/added_latency.py
@@ -212,6 +212,7 @@
                     if peer is not node
                 ]
             },
+            "tls": {"mode": "off"},
             "logs": {"level": "error"},
         }
         path = processes.folder / f"{node.instance_id}.yaml"
--- a/magnoliafork/node.py
+++ b/magnoliafork/node.py
@@ -28,6 +28,7 @@
 from magnoliafork.observe.span_export import SpanExporter
 from magnoliafork.observe.status import HistoryEntry, NodeStatus
 from magnoliafork.observe.tracing import Tracing
+from magnoliafork.observe.watch import ChangeLog, Watched
 from magnoliafork.proxy.ingress import IngressLimits, IngressRunner, build_app
 from magnoliafork.proxy.receiver import Receiver
 from magnoliafork.proxy.sender import Sender
@@ -249,6 +250,18 @@
             self.log,
             token.get_secret_value() if token else None,
         )
+        self._changes = ChangeLog(
+            Watched(
+                self.control,
+                self.store,
+                self.reader,
+                self.receiver,
+                self.sender,
+                self.links,
+                self.pool,
+            ),
+            self.log,
+        )
         self._exporter = SpanExporter(
             self.tracing.queue, self.log, self._settings.traces.otlp_url
         )
@@ -355,6 +368,7 @@
             self.log.info(Event.NODE_READY, version=self.store.version.number)
         self.receiver.tick(now_s)
         self.metrics.tick(now_s)
+        self._changes.tick()
 
     def _on_applied(self, snapshot: Snapshot) -> None:
         self.log.info(
@@ -388,6 +402,7 @@
             store=self.store,
             reader=self.reader,
             traffic=self.traffic,
+            pool=self.pool,
         )
 
 
--- a/magnoliafork/observe/collect.py
+++ b/magnoliafork/observe/collect.py
@@ -9,6 +9,7 @@
 from magnoliafork.snapshot.store import SnapshotStore
 from magnoliafork.source.reader import SourceReader
 from magnoliafork.wire.link import LinkTraffic
+from magnoliafork.wire.pool import PeerPool
 
 
 def collect(
@@ -20,6 +21,7 @@
     store: SnapshotStore,
     reader: SourceReader,
     traffic: LinkTraffic,
+    pool: PeerPool,
 ) -> None:
     """Sets every counter to the total since the start."""
     served = receiver.counters
@@ -40,6 +42,7 @@
         CounterName.VERSION_CONFLICTS: store.counts.conflicts,
         CounterName.CONTROL_BYTES_SENT: traffic.control_sent_bytes,
         CounterName.CONTROL_BYTES_RECEIVED: traffic.control_received_bytes,
+        CounterName.FRAMES_MALFORMED: traffic.malformed_frames,
         CounterName.CLOCK_JUMPS: control.detector.clock_jumps,
     }
     for name, total in totals.items():
@@ -47,6 +50,7 @@
     _set(metrics, CounterName.CALLS_REFUSED, served.refused)
     _set(metrics, CounterName.REQUESTS_NOT_RUN, sender.counters.not_run_by)
     _set(metrics, CounterName.REQUESTS_UNKNOWN, sender.counters.unknown_by)
+    _set(metrics, CounterName.LINKS_LOST, {"silent": pool.silent_links})
     _set(
         metrics,
         CounterName.VERSIONS_IGNORED,
--- a/magnoliafork/observe/metrics.py
+++ b/magnoliafork/observe/metrics.py
@@ -52,7 +52,6 @@
     CONTROL_BYTES_SENT = "control_bytes_sent"
     CONTROL_BYTES_RECEIVED = "control_bytes_received"
     FRAMES_MALFORMED = "frames_malformed"
-    LINKS_OPENED = "links_opened"
     LINKS_LOST = "links_lost"
     CLOCK_JUMPS = "clock_jumps"
     SPANS_DROPPED = "spans_dropped"
--- a/magnoliafork/observe/status.py
+++ b/magnoliafork/observe/status.py
@@ -1,6 +1,5 @@
 """What a node tells operators about itself."""
 
-import collections
 import dataclasses
 from collections.abc import Mapping, Sequence
 from typing import Protocol
@@ -10,8 +9,6 @@
 from magnoliafork.model.snapshot import Snapshot
 from magnoliafork.model.version import NO_VERSION, Version
 
-MAX_HISTORY_ENTRIES = 200
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RejectedVersion:
@@ -177,24 +174,6 @@
     )
 
 
-class History:
-    """The most recent changes, oldest first."""
-
-    def __init__(self, max_entries: int = MAX_HISTORY_ENTRIES) -> None:
-        """Creates an empty history of bounded length."""
-        self._entries: collections.deque[HistoryEntry] = collections.deque(
-            maxlen=max_entries
-        )
-
-    def add(self, entry: HistoryEntry) -> None:
-        """Adds a change and drops the oldest one if the history is full."""
-        self._entries.append(entry)
-
-    def entries(self) -> Sequence[HistoryEntry]:
-        """Returns the changes, oldest first."""
-        return tuple(self._entries)
-
-
 class StatusSource(Protocol):
     """Gives the admin listener access to a node."""
 
--- a/magnoliafork/standins/fleet.py
+++ b/magnoliafork/standins/fleet.py
@@ -64,9 +64,16 @@
 class Fleet:
     """Runs a deployment and records which versions came into force."""
 
-    def __init__(self, spec: DeploymentSpec, rng: random.Random) -> None:
+    def __init__(
+        self,
+        spec: DeploymentSpec,
+        rng: random.Random,
+        log_level: str = "error",
+    ) -> None:
         """Creates a fleet that is not started yet."""
         self.spec = spec
+        self.logs: dict[str, io.StringIO] = {}
+        self._log_level = log_level
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self.source = SourceServer()
@@ -95,7 +102,8 @@
 
     async def start_node(self, instance_id: str) -> None:
         """Starts the node beside an upstream, with an empty memory."""
-        log = EventLog("error", io.StringIO())
+        stream = self.logs.setdefault(instance_id, io.StringIO())
+        log = EventLog(self._log_level, stream)
         rng = random.Random(self._rng.getrandbits(64))
         node = Node(self.settings(instance_id), rng, log)
         self.nodes[instance_id] = node
--- a/magnoliafork/tests/observe/test_logs.py
+++ b/magnoliafork/tests/observe/test_logs.py
@@ -49,11 +49,11 @@
     stream, clock = io.StringIO(), Clock()
     log = EventLog(stream=stream, clock=clock)
     for _ in range(BURST_LINES + 7):
-        log.error(Event.UPSTREAM_UNREACHABLE)
+        log.error(Event.UPSTREAM_REFUSED)
     log.error(Event.CLOCK_JUMPED)
     assert len(lines_of(stream)) == BURST_LINES + 1
     clock.now_s += BURST_INTERVAL_S
-    log.error(Event.UPSTREAM_UNREACHABLE)
+    log.error(Event.UPSTREAM_REFUSED)
     assert lines_of(stream)[-1]["suppressed"] == 7
 
 
--- a/magnoliafork/wire/link.py
+++ b/magnoliafork/wire/link.py
@@ -40,6 +40,10 @@
         """Adds one sent frame."""
         ...
 
+    def count_malformed(self) -> None:
+        """Adds one frame that could not be decoded."""
+        ...
+
 
 @dataclasses.dataclass(slots=True)
 class LinkTraffic:
@@ -50,12 +54,14 @@
         control_sent_bytes: The same, sent.
         call_received_bytes: Requests and answers received.
         call_sent_bytes: The same, sent.
+        malformed_frames: Frames that could not be decoded.
     """
 
     control_received_bytes: int = 0
     control_sent_bytes: int = 0
     call_received_bytes: int = 0
     call_sent_bytes: int = 0
+    malformed_frames: int = 0
 
     def count_received(self, kind: type, size_bytes: int) -> None:
         """Adds one received frame."""
@@ -71,6 +77,10 @@
         else:
             self.control_sent_bytes += size_bytes
 
+    def count_malformed(self) -> None:
+        """Adds one frame that could not be decoded."""
+        self.malformed_frames += 1
+
 
 _CALL_KINDS = frozenset(
     {
@@ -218,10 +228,11 @@
         self._owner.on_hello(self, message)
 
     def _reject(self, error: codec.FrameError) -> None:
+        self._traffic.count_malformed()
         logger.warning(
             "peer frame rejected",
             extra={
-                "event": "peer_frame_rejected",
+                "event": "peer_frame_malformed",
                 "detail": error.detail,
                 "peer": self.remote.instance_id if self.remote else "",
             },
