--- a/magnoliafork/cli.py
+++ b/magnoliafork/cli.py
@@ -173,7 +173,7 @@
 def explain(
     path: Rules,
     request: Annotated[
-        str, typer.Argument(help="Request, such as 'POST /commissions'.")
+        str, typer.Option(help="Request, such as 'POST /commissions'.")
     ],
     host: Annotated[str, typer.Option(help="Host of the request.")] = "",
     as_json: Json = False,
--- a/magnoliafork/tests/commands/test_cli.py
+++ b/magnoliafork/tests/commands/test_cli.py
@@ -190,10 +190,10 @@
     assert "version 5" in after.stdout
     assert magnolia("diff", str(old), str(new)).exit_code == 1
     assert magnolia("diff", str(new), out).exit_code == 0
-    request = ("explain", str(new), "GET /b")
+    request = ("explain", str(new), "--request", "GET /b")
     assert magnolia(*request).exit_code == 1
     found = magnolia(*request, "--host", "h", "--json")
     assert found.exit_code == 0
     assert "Bo" in found.stdout
-    assert magnolia("explain", str(new), "GET").exit_code == 2
+    assert magnolia("explain", str(new), "--request", "GET").exit_code == 2
     assert magnolia("check", str(tmp_path / "none")).exit_code == 2
