Open all connections to peers through one connector

Cause: ControlPlane and PeerPool repeated their construction and the code that opens and greets a connection.

--- a/magnoliafork/node.py
+++ b/magnoliafork/node.py
@@ -40,6 +40,7 @@
 from magnoliafork.source.budget import ReadBudget
 from magnoliafork.source.http import HttpConfigSource
 from magnoliafork.source.reader import SourceReader
+from magnoliafork.wire.connector import Connector
 from magnoliafork.wire.control import ControlPlane
 from magnoliafork.wire.identity import NodeIdentity
 from magnoliafork.wire.link import LinkTraffic
@@ -139,12 +140,11 @@
             load=lambda: (self.receiver.active, self.receiver.limit),
         )
         self._identity = identity
-        self.pool = PeerPool(
-            identity, self._addresses, self.traffic, client_context, rng
-        )
-        self.links = ControlPlane(
-            identity, self._addresses, self.traffic, client_context, rng
+        connector = Connector(
+            identity, self._addresses, self.traffic, client_context
         )
+        self.pool = PeerPool(connector, rng)
+        self.links = ControlPlane(connector, rng)
 
     def _wire_control(self, rng: random.Random) -> None:
         settings = self._settings
--- a/magnoliafork/tests/wire/test_control.py
+++ b/magnoliafork/tests/wire/test_control.py
@@ -6,6 +6,7 @@
 from magnoliafork.model.version import NO_VERSION
 from magnoliafork.tests import virtual_time
 from magnoliafork.wire import messages
+from magnoliafork.wire.connector import Connector
 from magnoliafork.wire.control import ControlPlane
 from magnoliafork.wire.identity import NodeIdentity
 from magnoliafork.wire.link import LinkTraffic
@@ -44,7 +45,8 @@
         self.lost = 0
         traffic = LinkTraffic()
         rng = random.Random(name)
-        self.plane = ControlPlane(identity, book, traffic, None, rng)
+        connector = Connector(identity, book, traffic, None)
+        self.plane = ControlPlane(connector, rng)
         self.plane.set_handler(self)
         self.server = PeerServer(
             identity, _NoCalls(), self.plane, traffic, None
--- a/magnoliafork/tests/wire/test_pool.py
+++ b/magnoliafork/tests/wire/test_pool.py
@@ -8,6 +8,7 @@
 from magnoliafork.model.version import NO_VERSION
 from magnoliafork.tests import virtual_time
 from magnoliafork.wire import api, messages
+from magnoliafork.wire.connector import Connector
 from magnoliafork.wire.control import ControlPlane
 from magnoliafork.wire.identity import NodeIdentity
 from magnoliafork.wire.link import LinkTraffic
@@ -92,13 +93,15 @@
     book = _Fleet()
     traffic = LinkTraffic()
     control = ControlPlane(
-        _identity("b"), book, traffic, None, random.Random(1)
+        Connector(_identity("b"), book, traffic, None), random.Random(1)
     )
     server = PeerServer(_identity("b"), handler, control, traffic, None)
     gate = _Gate(await server.start("127.0.0.1", 0))
     front = await asyncio.start_server(gate.serve, "127.0.0.1", 0)
     book["b"] = ("127.0.0.1", front.sockets[0].getsockname()[1])
-    pool = PeerPool(_identity("a"), book, traffic, None, random.Random(1))
+    pool = PeerPool(
+        Connector(_identity("a"), book, traffic, None), random.Random(1)
+    )
     try:
         await test(pool, handler, gate)
     finally:
--- a/magnoliafork/tests/wire/test_tls.py
+++ b/magnoliafork/tests/wire/test_tls.py
@@ -13,6 +13,7 @@
 from magnoliafork.tests import virtual_time
 from magnoliafork.tests.wire.test_pool import REQUEST
 from magnoliafork.wire import api, messages
+from magnoliafork.wire.connector import Connector
 from magnoliafork.wire.control import ControlPlane
 from magnoliafork.wire.identity import NodeIdentity
 from magnoliafork.wire.link import LinkTraffic
@@ -71,12 +72,13 @@
         traffic = LinkTraffic()
         rng = random.Random(1)
         identity = _identity("b")
-        plane = ControlPlane(identity, _Book(0), traffic, None, rng)
+        plane = ControlPlane(Connector(identity, _Book(0), traffic, None), rng)
         server = PeerServer(identity, _Echo(), plane, traffic, server_context)
         port = await server.start("127.0.0.1", 0)
-        pool = PeerPool(
-            _identity("a"), _Book(port), traffic, client_context, rng
+        connector = Connector(
+            _identity("a"), _Book(port), traffic, client_context
         )
+        pool = PeerPool(connector, rng)
         reply = await pool.call("b", REQUEST, 3.0)
         await pool.close()
         await server.stop()
--- a/magnoliafork/wire/control.py
+++ b/magnoliafork/wire/control.py
@@ -3,11 +3,10 @@
 import asyncio
 import dataclasses
 import random
-import ssl
 
 from magnoliafork.wire import api, messages
-from magnoliafork.wire.identity import NodeIdentity
-from magnoliafork.wire.link import Link, LinkTraffic
+from magnoliafork.wire.connector import Connector
+from magnoliafork.wire.link import Link
 
 CONNECT_TIMEOUT_S = 2.0
 RETRY_MIN_S = 0.25
@@ -59,19 +58,10 @@
     for ever.
     """
 
-    def __init__(
-        self,
-        identity: NodeIdentity,
-        addresses: api.AddressBook,
-        traffic: LinkTraffic,
-        ssl_context: ssl.SSLContext | None,
-        rng: random.Random,
-    ) -> None:
+    def __init__(self, connector: Connector, rng: random.Random) -> None:
         """Creates a control plane without connections."""
-        self._identity = identity
-        self._addresses = addresses
-        self._traffic = traffic
-        self._ssl_context = ssl_context
+        self._connector = connector
+        self._self_id = connector.identity.instance_id
         self._rng = rng
         self._handler: api.ControlHandler | None = None
         self._links: dict[str, list[Link]] = {}
@@ -102,7 +92,7 @@
 
     def set_targets(self, instance_ids: tuple[str, ...]) -> None:
         """Sets the peers to which control connections are kept open."""
-        wanted = set(instance_ids) - {self._identity.instance_id}
+        wanted = set(instance_ids) - {self._self_id}
         for instance_id in set(self._targets) - wanted:
             self._targets.pop(instance_id).task.cancel()
         for instance_id in sorted(wanted - set(self._targets)):
@@ -141,7 +131,7 @@
             return
         self._add(link, hello)
         own = self._outgoing.get(hello.instance_id)
-        if own is not None and hello.instance_id < self._identity.instance_id:
+        if own is not None and hello.instance_id < self._self_id:
             own.close_after_flush("the peer has opened a connection as well")
 
     def on_hello(self, link: Link, hello: messages.Hello) -> None:
@@ -210,18 +200,9 @@
         await event.wait()
 
     async def _open(self, instance_id: str) -> None:
-        address = self._addresses.address(instance_id)
-        if address is None:
-            return
-        loop = asyncio.get_running_loop()
-        link = Link(self, self._traffic, loop)
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await loop.create_connection(
-                    lambda: link, *address, ssl=self._ssl_context
-                )
-        except (OSError, TimeoutError) as error:
-            link.close(f"cannot connect: {error}")
-            return
-        self._outgoing[instance_id] = link
-        link.send(self._identity.hello(messages.LinkPurpose.CONTROL))
+        link = self._connector.create_link(self)
+        is_connected = await self._connector.connect(
+            link, instance_id, messages.LinkPurpose.CONTROL, CONNECT_TIMEOUT_S
+        )
+        if is_connected:
+            self._outgoing[instance_id] = link
--- a/magnoliafork/wire/pool.py
+++ b/magnoliafork/wire/pool.py
@@ -4,11 +4,10 @@
 import dataclasses
 import itertools
 import random
-import ssl
 
 from magnoliafork.wire import api, messages
-from magnoliafork.wire.identity import NodeIdentity
-from magnoliafork.wire.link import Link, LinkTraffic
+from magnoliafork.wire.connector import Connector
+from magnoliafork.wire.link import Link
 
 CONNECT_TIMEOUT_S = 1.0
 SILENCE_PROBE_S = 0.3
@@ -40,19 +39,9 @@
     stream is late or duplicated and is dropped and counted.
     """
 
-    def __init__(
-        self,
-        identity: NodeIdentity,
-        addresses: api.AddressBook,
-        traffic: LinkTraffic,
-        ssl_context: ssl.SSLContext | None,
-        rng: random.Random,
-    ) -> None:
+    def __init__(self, connector: Connector, rng: random.Random) -> None:
         """Creates a pool without connections."""
-        self._identity = identity
-        self._addresses = addresses
-        self._traffic = traffic
-        self._ssl_context = ssl_context
+        self._connector = connector
         self._rng = rng
         self._links: dict[str, _CallLink] = {}
         self._by_link: dict[Link, tuple[str, _CallLink]] = {}
@@ -241,23 +230,17 @@
 
     async def _open(self, instance_id: str) -> _CallLink | None:
         loop = asyncio.get_running_loop()
-        address = self._addresses.address(instance_id)
-        if address is None:
-            return None
-        link = Link(self, self._traffic, loop)
+        link = self._connector.create_link(self)
         entry = _CallLink(link, 0, loop.create_future())
         self._by_link[link] = (instance_id, entry)
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await loop.create_connection(
-                    lambda: link, *address, ssl=self._ssl_context
-                )
-                link.send(self._identity.hello(messages.LinkPurpose.CALLS))
-                is_ready = await entry.ready
-        except (OSError, TimeoutError) as error:
-            link.close(f"cannot connect: {error}")
-            is_ready = False
-        if not is_ready or not link.is_open:
+        is_connected = await self._connector.connect(
+            link, instance_id, messages.LinkPurpose.CALLS, CONNECT_TIMEOUT_S
+        )
+        if is_connected:
+            timer = loop.call_later(CONNECT_TIMEOUT_S, link.close, "no Hello")
+            is_connected = await entry.ready
+            timer.cancel()
+        if not is_connected or not link.is_open:
             self._by_link.pop(link, None)
             pause_s = RECONNECT_PAUSE_S * (0.5 + self._rng.random())
             self._blocked_until_s[instance_id] = loop.time() + pause_s
@@ -298,5 +281,5 @@
         self._watch(entry)
 
     def _heartbeat(self) -> messages.Heartbeat:
-        beat = self._identity.liveness_reply(0)
+        beat = self._connector.identity.liveness_reply(0)
         return dataclasses.replace(beat, is_reply=False)
