Split the ingress into requests, responses and the listener

Change: responses.py translates outcomes, ingress_runner.py listens and stops; no behaviour changes. Tests of ingress, nodes and commands pass.

--- a/magnoliafork/node.py
+++ b/magnoliafork/node.py
@@ -29,7 +29,8 @@
 from magnoliafork.observe.status import HistoryEntry, NodeStatus
 from magnoliafork.observe.tracing import Tracing
 from magnoliafork.observe.watch import ChangeLog, Watched
-from magnoliafork.proxy.ingress import IngressLimits, IngressRunner, build_app
+from magnoliafork.proxy.ingress import IngressLimits, build_app
+from magnoliafork.proxy.ingress_runner import IngressRunner
 from magnoliafork.proxy.receiver import Receiver
 from magnoliafork.proxy.sender import Sender
 from magnoliafork.proxy.upstream import HttpUpstream
--- a/magnoliafork/proxy/ingress.py
+++ b/magnoliafork/proxy/ingress.py
@@ -6,22 +6,13 @@
 
 import asyncio
 import dataclasses
-import logging
 import re
-import secrets
-from typing import Any, Protocol
+from typing import Protocol
 
 from aiohttp import hdrs, web
-from multidict import CIMultiDict, CIMultiDictProxy
-
-from magnoliafork.model.manifest import canonical_json
-from magnoliafork.model.request import (
-    Answered,
-    NotRun,
-    NotRunReason,
-    OutcomeUnknown,
-    UnknownReason,
-)
+from multidict import CIMultiDictProxy
+
+from magnoliafork.model.request import NotRunReason
 from magnoliafork.proxy.headers import (
     TRACE_HEADER,
     end_to_end,
@@ -32,51 +23,22 @@
     split_target,
     trace_context,
 )
+from magnoliafork.proxy.responses import refusal_response, to_response
 from magnoliafork.proxy.sender import Handled, IngressRequest
 
 DEADLINE_HEADER = "Magnolia-Deadline-Ms"
 ATTEMPT_HEADER = "Magnolia-Attempt"
 KEY_HEADER = "Idempotency-Key"
-OUTCOME_HEADER = "Magnolia-Outcome"
-REQUEST_ID_HEADER = "Magnolia-Request-Id"
-
-OUTCOME_ANSWERED = "answered"
-OUTCOME_NOT_RUN = "not-run"
-OUTCOME_UNKNOWN = "unknown"
 
 MAX_DEADLINE_MS = 3_600_000
 MAX_KEY_CHARS = 255
-MIN_RETRY_AFTER_S = 1
-
-_STATUS_OF_REASON = {
-    NotRunReason.NO_ROUTE: 404,
-    NotRunReason.BAD_REQUEST: 400,
-    NotRunReason.BODY_TOO_LARGE: 413,
-    NotRunReason.KEY_REUSED: 422,
-}
-_SERVICE_UNAVAILABLE = 503
-_GATEWAY_TIMEOUT = 504
+
 _REQUEST_TIMEOUT = 408
 _HEADERS_TOO_LARGE = 431
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-_REFUSAL = (
-    b"HTTP/1.1 503 Service Unavailable\r\n"
-    b"Magnolia-Outcome: not-run\r\nRetry-After: 1\r\n"
-    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
-)
 _KEY = re.compile(rf"[\x21-\x7e]{{1,{MAX_KEY_CHARS}}}")
-_INTERNAL_ERROR = 500
-_BACKLOG = 1024
 # Half of the transport's default high-water mark leaves room for the headers.
 _BUFFERED_BYTES = 32 * 1024
-# Time to read the rest of a refused body, so that the answer is not lost to a
-# connection reset.
-_LINGERING_S = 2.0
-_LAST_READ_S = 0.05
-_FLUSH_S = 1.0
-_FLUSH_POLL_S = 0.01
-
-_log = logging.getLogger(__name__)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -324,228 +286,3 @@
         if not attempt:
             return None
     return _Options(deadline_ms, keys[0] if keys else "", attempt == 1)
-
-
-def to_response(handled: Handled, method: str) -> web.Response:
-    """Translates an outcome into HTTP."""
-    outcome = handled.outcome
-    if isinstance(outcome, Answered):
-        return _answer_response(handled.request_id, outcome, method)
-    status, name = _status_of(outcome)
-    response = _outcome_response(
-        status, name, outcome.reason.value, handled.request_id
-    )
-    if isinstance(outcome, NotRun) and status == _SERVICE_UNAVAILABLE:
-        retry_after_s = max(
-            -(-outcome.retry_after_ms // 1000), MIN_RETRY_AFTER_S
-        )
-        response.headers[hdrs.RETRY_AFTER] = str(retry_after_s)
-    return response
-
-
-def refusal_response(status: int, reason: NotRunReason) -> web.Response:
-    """Returns the answer to a request that the ingress refuses itself."""
-    response = _outcome_response(
-        status, OUTCOME_NOT_RUN, reason.value, secrets.token_hex(16)
-    )
-    response.force_close()
-    return response
-
-
-def broken_response() -> web.Response:
-    """Returns the answer after a fault in this process.
-
-    The request may have run, so that only "unknown" is true.
-    """
-    response = _outcome_response(
-        _GATEWAY_TIMEOUT,
-        OUTCOME_UNKNOWN,
-        UnknownReason.NO_REPLY.value,
-        secrets.token_hex(16),
-    )
-    response.force_close()
-    return response
-
-
-def _status_of(outcome: NotRun | OutcomeUnknown) -> tuple[int, str]:
-    if isinstance(outcome, OutcomeUnknown):
-        return _GATEWAY_TIMEOUT, OUTCOME_UNKNOWN
-    status = _STATUS_OF_REASON.get(outcome.reason, _SERVICE_UNAVAILABLE)
-    return status, OUTCOME_NOT_RUN
-
-
-def _outcome_response(
-    status: int, outcome: str, reason: str, request_id: str
-) -> web.Response:
-    body = canonical_json(
-        {"outcome": outcome, "reason": reason, "request_id": request_id}
-    )
-    return web.Response(
-        status=status,
-        body=body,
-        headers={
-            OUTCOME_HEADER: outcome,
-            REQUEST_ID_HEADER: request_id,
-            hdrs.CONTENT_TYPE: "application/json",
-        },
-    )
-
-
-def _answer_response(
-    request_id: str, answer: Answered, method: str
-) -> web.Response:
-    connection = [
-        value for name, value in answer.headers if name.lower() == "connection"
-    ]
-    headers = CIMultiDict(end_to_end(answer.headers, connection))
-    headers[OUTCOME_HEADER] = OUTCOME_ANSWERED
-    headers[REQUEST_ID_HEADER] = request_id
-    if method == hdrs.METH_HEAD and not answer.body:
-        # The length of a body that is not sent is the upstream's to tell.
-        for name, value in answer.headers:
-            if name.lower() == "content-length":
-                headers[hdrs.CONTENT_LENGTH] = value
-    return web.Response(status=answer.status, body=answer.body, headers=headers)
-
-
-class _RefuseConnection(asyncio.Protocol):
-    """Answers a connection above the cap and closes it."""
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.WriteTransport)
-        transport.write(_REFUSAL)
-        transport.close()
-
-
-class _Handler(web.RequestHandler):
-    """Connection whose protocol errors carry an outcome as well."""
-
-    def handle_error(
-        self,
-        request: web.BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        """Answers a request that is not valid HTTP or that failed here."""
-        if request.writer.output_size > 0:
-            raise ConnectionError("the answer has been sent in part")
-        if status < _INTERNAL_ERROR:
-            # Not logged above debug level: any caller could fill the log.
-            _log.debug("malformed request: %s", message)
-            return refusal_response(status, NotRunReason.BAD_REQUEST)
-        _log.error("request handler failed", exc_info=exc)
-        return broken_response()
-
-
-class IngressRunner:
-    """Listens for callers and stops without cutting an answer."""
-
-    def __init__(self, app: IngressApp, host: str, port: int) -> None:
-        """Creates a runner; port 0 takes a free one."""
-        self._app = app
-        self._host = host
-        self._port = port
-        self._web_server: web.Server | None = None
-        self._listener: asyncio.Server | None = None
-
-    @property
-    def port(self) -> int:
-        """Port on which the ingress listens."""
-        if self._listener is None or not self._listener.sockets:
-            return self._port
-        return int(self._listener.sockets[0].getsockname()[1])
-
-    @property
-    def connection_count(self) -> int:
-        """Number of open connections of callers."""
-        if self._web_server is None:
-            return 0
-        return len(self._web_server.connections)
-
-    async def start(self) -> None:
-        """Starts to listen."""
-        loop = asyncio.get_running_loop()
-        self._web_server = web.Server(
-            self._app.serve,
-            request_factory=self._make_request,
-            handler_cancellation=True,
-        )
-        self._listener = await loop.create_server(
-            self._make_protocol, self._host, self._port, backlog=_BACKLOG
-        )
-
-    def begin_stop(self) -> None:
-        """Closes each connection after its next answer from now on.
-
-        The listener stays open, so that callers get a 503 instead of a
-        refused connection until the node has spread its state.
-        """
-        self._app.begin_stop()
-
-    async def stop(self, timeout_s: float) -> int:
-        """Waits for the answers in flight, then closes all connections.
-
-        Returns:
-            The number of requests that were cut off at the time limit.
-        """
-        self._app.begin_stop()
-        loop = asyncio.get_running_loop()
-        end_s = loop.time() + timeout_s
-        await self._app.drained(timeout_s)
-        if self._listener is not None:
-            self._listener.close()
-        # Requests that are in the socket buffers already still get their 503.
-        await asyncio.sleep(_LAST_READ_S)
-        cut = await self._app.drained(max(end_s - loop.time(), 0.0))
-        if self._web_server is not None:
-            await self._close_connections(self._web_server)
-        return cut
-
-    async def _close_connections(self, server: web.Server) -> None:
-        for connection in server.connections:
-            # Closing a transport still sends what its buffer holds.
-            connection.force_close()
-        loop = asyncio.get_running_loop()
-        end_s = loop.time() + _FLUSH_S
-        while server.connections and loop.time() < end_s:
-            await asyncio.sleep(_FLUSH_POLL_S)
-        await server.shutdown(_FLUSH_POLL_S)
-
-    def _make_protocol(self) -> asyncio.Protocol:
-        server = self._web_server
-        limits = self._app.limits
-        if server is None or self.connection_count >= limits.max_connections:
-            self._app.counters.refused_connections += 1
-            return _RefuseConnection()
-        return _Handler(
-            server,
-            loop=asyncio.get_running_loop(),
-            # Also bounds the headers: the time runs until they are complete.
-            keepalive_timeout=limits.head_timeout_s,
-            lingering_time=_LINGERING_S,
-            max_line_size=limits.max_field_bytes,
-            max_field_size=limits.max_field_bytes,
-            max_headers=limits.max_headers,
-            # The body goes on as it is, with its Content-Encoding.
-            auto_decompress=False,
-            access_log=None,  # type: ignore[arg-type]
-        )
-
-    def _make_request(
-        self,
-        message: Any,
-        payload: Any,
-        protocol: web.RequestHandler,
-        writer: Any,
-        task: "asyncio.Task[None]",
-    ) -> web.BaseRequest:
-        return web.BaseRequest(
-            message,
-            payload,
-            protocol,
-            writer,
-            task,
-            asyncio.get_running_loop(),
-            client_max_size=self._app.limits.max_body_bytes,
-        )
--- /dev/null
+++ b/magnoliafork/proxy/ingress_runner.py
@@ -0,0 +1,170 @@
+"""Listens for callers and stops without cutting an answer."""
+
+import asyncio
+import logging
+from typing import Any
+
+from aiohttp import web
+
+from magnoliafork.model.request import NotRunReason
+from magnoliafork.proxy.ingress import IngressApp
+from magnoliafork.proxy.responses import broken_response, refusal_response
+
+_REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\n"
+    b"Magnolia-Outcome: not-run\r\nRetry-After: 1\r\n"
+    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+)
+_INTERNAL_ERROR = 500
+_BACKLOG = 1024
+# Time to read the rest of a refused body, so that the answer is not lost to a
+# connection reset.
+_LINGERING_S = 2.0
+_LAST_READ_S = 0.05
+_FLUSH_S = 1.0
+_FLUSH_POLL_S = 0.01
+
+_log = logging.getLogger(__name__)
+
+
+class _RefuseConnection(asyncio.Protocol):
+    """Answers a connection above the cap and closes it."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.WriteTransport)
+        transport.write(_REFUSAL)
+        transport.close()
+
+
+class _Handler(web.RequestHandler):
+    """Connection whose protocol errors carry an outcome as well."""
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answers a request that is not valid HTTP or that failed here."""
+        if request.writer.output_size > 0:
+            raise ConnectionError("the answer has been sent in part")
+        if status < _INTERNAL_ERROR:
+            # Not logged above debug level: any caller could fill the log.
+            _log.debug("malformed request: %s", message)
+            return refusal_response(status, NotRunReason.BAD_REQUEST)
+        _log.error("request handler failed", exc_info=exc)
+        return broken_response()
+
+
+class IngressRunner:
+    """Listens for callers and stops without cutting an answer."""
+
+    def __init__(self, app: IngressApp, host: str, port: int) -> None:
+        """Creates a runner; port 0 takes a free one."""
+        self._app = app
+        self._host = host
+        self._port = port
+        self._web_server: web.Server | None = None
+        self._listener: asyncio.Server | None = None
+
+    @property
+    def port(self) -> int:
+        """Port on which the ingress listens."""
+        if self._listener is None or not self._listener.sockets:
+            return self._port
+        return int(self._listener.sockets[0].getsockname()[1])
+
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections of callers."""
+        if self._web_server is None:
+            return 0
+        return len(self._web_server.connections)
+
+    async def start(self) -> None:
+        """Starts to listen."""
+        loop = asyncio.get_running_loop()
+        self._web_server = web.Server(
+            self._app.serve,
+            request_factory=self._make_request,
+            handler_cancellation=True,
+        )
+        self._listener = await loop.create_server(
+            self._make_protocol, self._host, self._port, backlog=_BACKLOG
+        )
+
+    def begin_stop(self) -> None:
+        """Closes each connection after its next answer from now on.
+
+        The listener stays open, so that callers get a 503 instead of a
+        refused connection until the node has spread its state.
+        """
+        self._app.begin_stop()
+
+    async def stop(self, timeout_s: float) -> int:
+        """Waits for the answers in flight, then closes all connections.
+
+        Returns:
+            The number of requests that were cut off at the time limit.
+        """
+        self._app.begin_stop()
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + timeout_s
+        await self._app.drained(timeout_s)
+        if self._listener is not None:
+            self._listener.close()
+        # Requests that are in the socket buffers already still get their 503.
+        await asyncio.sleep(_LAST_READ_S)
+        cut = await self._app.drained(max(end_s - loop.time(), 0.0))
+        if self._web_server is not None:
+            await self._close_connections(self._web_server)
+        return cut
+
+    async def _close_connections(self, server: web.Server) -> None:
+        for connection in server.connections:
+            # Closing a transport still sends what its buffer holds.
+            connection.force_close()
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + _FLUSH_S
+        while server.connections and loop.time() < end_s:
+            await asyncio.sleep(_FLUSH_POLL_S)
+        await server.shutdown(_FLUSH_POLL_S)
+
+    def _make_protocol(self) -> asyncio.Protocol:
+        server = self._web_server
+        limits = self._app.limits
+        if server is None or self.connection_count >= limits.max_connections:
+            self._app.counters.refused_connections += 1
+            return _RefuseConnection()
+        return _Handler(
+            server,
+            loop=asyncio.get_running_loop(),
+            # Also bounds the headers: the time runs until they are complete.
+            keepalive_timeout=limits.head_timeout_s,
+            lingering_time=_LINGERING_S,
+            max_line_size=limits.max_field_bytes,
+            max_field_size=limits.max_field_bytes,
+            max_headers=limits.max_headers,
+            # The body goes on as it is, with its Content-Encoding.
+            auto_decompress=False,
+            access_log=None,  # type: ignore[arg-type]
+        )
+
+    def _make_request(
+        self,
+        message: Any,
+        payload: Any,
+        protocol: web.RequestHandler,
+        writer: Any,
+        task: "asyncio.Task[None]",
+    ) -> web.BaseRequest:
+        return web.BaseRequest(
+            message,
+            payload,
+            protocol,
+            writer,
+            task,
+            asyncio.get_running_loop(),
+            client_max_size=self._app.limits.max_body_bytes,
+        )
--- a/magnoliafork/tests/proxy/test_ingress.py
+++ b/magnoliafork/tests/proxy/test_ingress.py
@@ -10,11 +10,8 @@
 
 import pytest
 
-from magnoliafork.proxy.ingress import (
-    IngressLimits,
-    IngressRunner,
-    build_app,
-)
+from magnoliafork.proxy.ingress import IngressLimits, build_app
+from magnoliafork.proxy.ingress_runner import IngressRunner
 from magnoliafork.tests.proxy.test_sender_fleet import (
     Fleet,
     route,
