Let only the sender retry

Cause: aiohttp repeats a GET by itself when a kept-alive connection breaks, outside the retry budget. Change: the client's own retry is switched off; a broken kept connection is unknown and the sender retries within its budget. Test: fails before the change (the GET is repeated), passes after it.

--- a/magnoliafork/proxy/upstream.py
+++ b/magnoliafork/proxy/upstream.py
@@ -239,7 +239,7 @@
 
 
 def _session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
-    return aiohttp.ClientSession(
+    session = aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
@@ -254,6 +254,10 @@
         ),
         trace_configs=[_progress_tracing()],
     )
+    # aiohttp would repeat a GET by itself when a kept-alive connection breaks.
+    # Only the sender retries, within its budget. There is no public switch.
+    session._retry_connection = False
+    return session
 
 
 def _progress_tracing() -> aiohttp.TraceConfig:
--- a/magnoliafork/tests/proxy/test_upstream.py
+++ b/magnoliafork/tests/proxy/test_upstream.py
@@ -126,6 +126,28 @@
     assert len(raw.heads) == 1
 
 
+def test_repeatable_request_is_not_repeated_on_a_broken_kept_connection() -> (
+    None
+):
+    # Guards against attempts that the retry budget does not know: aiohttp
+    # repeated each GET once when a kept-alive connection broke.
+    answers = iter((WHOLE, b"", WHOLE))
+
+    async def script(head: bytes, writer: asyncio.StreamWriter) -> bool:
+        content = next(answers)
+        writer.write(content)
+        return bool(content)
+
+    get = make_request("GET", True)
+    results, raw = exchange(script, get, get, get)
+    assert [type(result) for result in results] == [
+        UpstreamAnswer,
+        UpstreamUnknown,
+        UpstreamAnswer,
+    ]
+    assert len(raw.heads) == 3
+
+
 def test_refused_connection_is_not_run() -> None:
     # Guards against "unknown" for requests that never left this node.
     async def main() -> UpstreamResult:
