Remove an unused request class and a wrapper around one task

Cause: model.request.Request was never used, and the control plane wrapped each connection task in a class with that one field. Change: both are gone; no behaviour changes.

--- a/magnoliafork/model/request.py
+++ b/magnoliafork/model/request.py
@@ -1,10 +1,8 @@
-"""Requests of callers and their three distinguishable outcomes."""
+"""The three distinguishable outcomes of a caller's request."""
 
 import dataclasses
 import enum
 
-from magnoliafork.model.rules import Priority
-
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -40,38 +38,6 @@
     ANSWER_FORGOTTEN = "answer_forgotten"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Request:
-    """A request on its way to an upstream.
-
-    Attributes:
-        request_id: 128-bit id in hexadecimal; one id runs at most once per
-            receiver incarnation when the request is not repeatable.
-        service: Service chosen by the route.
-        method: HTTP method.
-        path: Path with its query string.
-        headers: End-to-end headers.
-        body: Whole body.
-        repeatable: Whether the request may run more than once.
-        priority: Priority class.
-        traceparent: W3C trace context, or an empty string.
-        is_keyed: Whether the id comes from the caller's idempotency key.
-        is_first_attempt: Whether the caller never sent this key before.
-    """
-
-    request_id: str
-    service: str
-    method: str
-    path: str
-    headers: Headers
-    body: bytes
-    repeatable: bool
-    priority: Priority
-    traceparent: str
-    is_keyed: bool = False
-    is_first_attempt: bool = False
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answered:
     """The upstream's whole answer."""
--- a/magnoliafork/wire/control.py
+++ b/magnoliafork/wire/control.py
@@ -42,13 +42,6 @@
     silent_s: float
 
 
-@dataclasses.dataclass(slots=True)
-class _Target:
-    """A peer to which a connection is kept open."""
-
-    task: asyncio.Task[None]
-
-
 class ControlPlane:
     """Implements `ControlLinks`; keeps connections to the targets open.
 
@@ -65,7 +58,7 @@
         self._rng = rng
         self._handler: api.ControlHandler | None = None
         self._links: dict[str, list[Link]] = {}
-        self._targets: dict[str, _Target] = {}
+        self._targets: dict[str, asyncio.Task[None]] = {}
         self._outgoing: dict[str, Link] = {}
         self._down_events: dict[str, asyncio.Event] = {}
 
@@ -94,12 +87,12 @@
         """Sets the peers to which control connections are kept open."""
         wanted = set(instance_ids) - {self._self_id}
         for instance_id in set(self._targets) - wanted:
-            self._targets.pop(instance_id).task.cancel()
+            self._targets.pop(instance_id).cancel()
         for instance_id in sorted(wanted - set(self._targets)):
             task = asyncio.get_running_loop().create_task(
                 self._keep_open(instance_id)
             )
-            self._targets[instance_id] = _Target(task)
+            self._targets[instance_id] = task
 
     def close_silent(self, now_s: float) -> int:
         """Closes connections without any received byte for too long.
