--- a/magnoliafork/balance/retry.py
+++ b/magnoliafork/balance/retry.py
@@ -9,26 +9,43 @@
 
 
 class RetryBudget:
-    """Allows retries and hedges for 10% of the requests plus 3 per second.
+    """Allows retries and hedges for a share of the requests plus a rate.
 
     A token bucket: every request adds a fraction of a token, time adds the
     rest, and each extra attempt takes one token.
     """
 
-    def __init__(self, now_s: float) -> None:
-        """Creates a budget that holds the tokens of one second."""
-        self._tokens = BUDGET_PER_S
+    def __init__(
+        self,
+        now_s: float,
+        *,
+        ratio: float = BUDGET_RATIO,
+        per_s: float = BUDGET_PER_S,
+        cap: float = BUDGET_CAP,
+    ) -> None:
+        """Creates a budget that holds the tokens of one second.
+
+        Args:
+            now_s: Current time.
+            ratio: Tokens that each request adds.
+            per_s: Tokens that time adds.
+            cap: Most tokens that can be saved up.
+        """
+        self._ratio = ratio
+        self._per_s = per_s
+        self._cap = cap
+        self._tokens = per_s
         self._filled_at_s = now_s
 
     def add_request(self) -> None:
         """Adds the share of one caller's request."""
-        self._tokens = min(self._tokens + BUDGET_RATIO, BUDGET_CAP)
+        self._tokens = min(self._tokens + self._ratio, self._cap)
 
     def take(self, now_s: float) -> bool:
         """Takes one token for an extra attempt; false if none is left."""
         elapsed_s = max(now_s - self._filled_at_s, 0.0)
         self._filled_at_s = now_s
-        self._tokens = min(self._tokens + elapsed_s * BUDGET_PER_S, BUDGET_CAP)
+        self._tokens = min(self._tokens + elapsed_s * self._per_s, self._cap)
         if self._tokens < 1.0:
             return False
         self._tokens -= 1.0
--- /dev/null
+++ b/magnoliafork/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""A node that takes its configuration from a read-only published store."""
--- /dev/null
+++ b/magnoliafork/mesh/ingress.py
@@ -0,0 +1,215 @@
+"""HTTP server for the callers on this machine."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from magnoliafork.mesh.dialect import HttpDialect
+from magnoliafork.mesh.sender import MeshRequest, MeshSender
+from magnoliafork.model.request import (
+    Answered,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    UnknownReason,
+)
+
+# Bodies travel between nodes in one frame.
+MAX_BODY_BYTES = 1_900_000
+MAX_HEADER_BYTES = 65_536
+# Longer than any idle time that operators allow their callers, so that a
+# request never meets a connection that this node is closing.
+KEEP_ALIVE_S = 120.0
+# Wait for handlers when connections are closed; the library takes 0 for no
+# limit.
+CLOSE_TIMEOUT_S = 0.05
+
+_STATUS_OF_REASON = {
+    NotRunReason.NO_ROUTE: 404,
+    NotRunReason.BODY_TOO_LARGE: 413,
+}
+_SERVICE_UNAVAILABLE = 503
+_BAD_GATEWAY = 502
+_GATEWAY_TIMEOUT = 504
+
+
+class MeshIngress:
+    """Translates between HTTP and the sender."""
+
+    def __init__(
+        self,
+        sender: MeshSender,
+        dialect: HttpDialect,
+        own_service: str,
+        name: str,
+    ) -> None:
+        """Creates an ingress that does not listen yet.
+
+        Args:
+            sender: Handles the requests.
+            dialect: Reads and writes the platform's headers.
+            own_service: Service of the upstream on this machine.
+            name: Name of this process, part of the request ids.
+        """
+        self._sender = sender
+        self._dialect = dialect
+        self._own_service = own_service
+        self._ids = (f"{name}-{number}" for number in itertools.count(1))
+        self._server = web.Server(
+            self._handle,
+            request_factory=self._new_request,
+            handler_cancellation=True,
+            keepalive_timeout=KEEP_ALIVE_S,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            auto_decompress=False,
+            access_log=None,
+        )
+        self._listener: asyncio.Server | None = None
+        self.is_stopping = False
+        self.in_flight = 0
+
+    async def start(self, host: str, port: int) -> int:
+        """Listens and returns the port, which may have been 0."""
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(self._server, host, port)
+        bound: int = self._listener.sockets[0].getsockname()[1]
+        return bound
+
+    def stop_listening(self) -> None:
+        """Accepts no further connection."""
+        if self._listener is not None:
+            self._listener.close()
+
+    async def close(self) -> None:
+        """Closes all connections at once."""
+        self.stop_listening()
+        await self._server.shutdown(CLOSE_TIMEOUT_S)
+
+    @staticmethod
+    def _new_request(
+        message: object,
+        payload: object,
+        protocol: object,
+        writer: object,
+        task: "asyncio.Task[None]",
+    ) -> web.BaseRequest:
+        return web.BaseRequest(
+            message,  # type: ignore[arg-type]
+            payload,  # type: ignore[arg-type]
+            protocol,  # type: ignore[arg-type]
+            writer,  # type: ignore[arg-type]
+            task,
+            asyncio.get_running_loop(),
+            client_max_size=MAX_BODY_BYTES,
+        )
+
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
+        self.in_flight += 1
+        try:
+            response = await self._respond(request)
+        finally:
+            self.in_flight -= 1
+        if self.is_stopping:
+            response.force_close()
+        return response
+
+    async def _respond(self, request: web.BaseRequest) -> web.Response:
+        headers = [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in request.raw_headers
+        ]
+        facts = self._dialect.caller_facts(headers)
+        remaining_s = None
+        started_s = asyncio.get_running_loop().time()
+        if facts.remaining_ms is not None:
+            remaining_s = facts.remaining_ms / 1000
+        try:
+            body = await request.read()
+        except web.HTTPRequestEntityTooLarge:
+            return _to_response(NotRun(NotRunReason.BODY_TOO_LARGE))
+        if remaining_s is not None:
+            remaining_s -= asyncio.get_running_loop().time() - started_s
+        request_id = facts.attempt_id or next(self._ids)
+        outcome = await self._sender.handle(
+            MeshRequest(
+                # A caller may use an id again; the ledger must not.
+                request_id=f"{request_id}/{next(self._ids)}",
+                method=request.method,
+                host=request.headers.get("Host", ""),
+                target=request.raw_path,
+                headers=self._dialect.forwarded(headers, self._own_service),
+                body=body,
+                remaining_s=remaining_s,
+            )
+        )
+        return _to_response(outcome)
+
+
+def _to_response(outcome: Outcome) -> web.Response:
+    if isinstance(outcome, Answered):
+        return web.Response(
+            status=outcome.status,
+            headers=CIMultiDict(outcome.headers),
+            body=outcome.body,
+        )
+    if isinstance(outcome, NotRun):
+        status = _STATUS_OF_REASON.get(outcome.reason, _SERVICE_UNAVAILABLE)
+        response = _own_response(status, "not-run", outcome.reason.value)
+        if status == _SERVICE_UNAVAILABLE:
+            retry_after_s = outcome.retry_after_ms / 1000
+            response.headers["Retry-After"] = f"{retry_after_s:.3f}"
+        return response
+    status = _BAD_GATEWAY
+    if outcome.reason is UnknownReason.UPSTREAM_TIMEOUT:
+        status = _GATEWAY_TIMEOUT
+    return _own_response(status, "unknown", outcome.reason.value)
+
+
+def _own_response(status: int, outcome: str, reason: str) -> web.Response:
+    return web.json_response(
+        {"outcome": outcome, "reason": reason}, status=status
+    )
+
+
+class StatusServer:
+    """Answers `GET` requests for one path, such as a readiness check."""
+
+    def __init__(
+        self, path: str, answer: Callable[[], tuple[int, str]]
+    ) -> None:
+        """Creates a server that does not listen yet.
+
+        Args:
+            path: The path.
+            answer: Returns the status and the text.
+        """
+        self._path = path
+        self._answer = answer
+        self._server = web.Server(
+            self._handle,
+            access_log=None,
+        )
+        self._listener: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> int:
+        """Listens and returns the port, which may have been 0."""
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(self._server, host, port)
+        bound: int = self._listener.sockets[0].getsockname()[1]
+        return bound
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        if self._listener is not None:
+            self._listener.close()
+        await self._server.shutdown(CLOSE_TIMEOUT_S)
+
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
+        if request.path != self._path:
+            return web.Response(status=404)
+        status, text = self._answer()
+        return web.Response(status=status, text=text)
--- /dev/null
+++ b/magnoliafork/mesh/metrics.py
@@ -0,0 +1,50 @@
+"""Counters of a mesh node as text for the metrics address."""
+
+from collections.abc import Iterator, Mapping
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from magnoliafork.mesh.node import MeshNode
+
+PREFIX = "magnoliafork"
+
+
+def render(node: "MeshNode") -> str:
+    """Returns all counters and gauges, one a line."""
+    return "".join(f"{line}\n" for line in _lines(node))
+
+
+def _lines(node: "MeshNode") -> Iterator[str]:
+    sender, receiver = node.sender.counters, node.receiver.counters
+    config = node.view.config
+    plain = {
+        "config_version": config.version if config is not None else 0,
+        "view_revision": node.view.revision,
+        "is_reader": int(node.exchange.is_reader),
+        "requests_total": sender.requests,
+        "requests_in_flight": sender.in_flight,
+        "requests_answered_total": sender.answered,
+        "retries_total": sender.retries,
+        "hedges_total": sender.hedges,
+        "retry_budget_denied_total": sender.budget_denied,
+        "calls_total": receiver.calls,
+        "calls_sent_total": receiver.sent,
+        "calls_broken_total": receiver.broken,
+        "calls_active": node.receiver.active,
+        "calls_queued": node.receiver.queued,
+        "health_checks_total": receiver.health_checks,
+        "upstream_connections_total": node.client.connections_opened,
+        "links_silent_total": node.pool.silent_links,
+        "control_sent_bytes_total": node.traffic.control_sent_bytes,
+        "control_received_bytes_total": node.traffic.control_received_bytes,
+    }
+    for name, value in plain.items():
+        yield f"{PREFIX}_{name} {value}"
+    yield from _by_reason("requests_not_run_total", sender.not_run_by)
+    yield from _by_reason("requests_unknown_total", sender.unknown_by)
+    yield from _by_reason("calls_refused_total", receiver.refused_by)
+
+
+def _by_reason(name: str, values: Mapping[str, int]) -> Iterator[str]:
+    for reason, value in sorted(values.items()):
+        yield f'{PREFIX}_{name}{{reason="{reason}"}} {value}'
--- /dev/null
+++ b/magnoliafork/mesh/node.py
@@ -0,0 +1,291 @@
+"""Composition root of a mesh node and its tick."""
+
+import asyncio
+import random
+import time
+from collections.abc import Sequence
+
+from magnoliafork.mesh.dialect import HttpDialect
+from magnoliafork.mesh.exchange import ViewExchange
+from magnoliafork.mesh.ingress import MeshIngress, StatusServer
+from magnoliafork.mesh.metrics import render
+from magnoliafork.mesh.model import UpstreamEntry
+from magnoliafork.mesh.reading import StoreReader
+from magnoliafork.mesh.receiver import MeshReceiver
+from magnoliafork.mesh.sender import MeshSender, RetryLimits
+from magnoliafork.mesh.settings import MeshSettings, split_address
+from magnoliafork.mesh.source import PublishedStore
+from magnoliafork.mesh.upstream import UpstreamClient
+from magnoliafork.mesh.upstream_table import UpstreamTable
+from magnoliafork.mesh.view import Change, Decode, MeshView, unreadable
+from magnoliafork.model.version import Version
+from magnoliafork.observe.events import Event
+from magnoliafork.observe.logs import EventLog
+from magnoliafork.wire import messages
+from magnoliafork.wire.connector import Connector
+from magnoliafork.wire.control import ControlPlane
+from magnoliafork.wire.identity import NodeIdentity
+from magnoliafork.wire.link import LinkTraffic
+from magnoliafork.wire.pool import PeerPool
+from magnoliafork.wire.server import PeerServer
+
+TICK_S = 0.1
+# Time after SIGTERM in which the platform sees two failed readiness checks and
+# sends no more callers.
+STOP_SPREAD_S = 2.2
+# Part of the grace period left for closing before the process is killed.
+STOP_MARGIN_S = 0.7
+READY_PATH = "/ready"
+METRICS_PATH = "/metrics"
+
+
+class _PeerAddresses:
+    """Peers are named by their host; the port is the same on all machines."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+
+    def address(self, instance_id: str) -> tuple[str, int] | None:
+        """Returns the address of a peer."""
+        return instance_id, self._port
+
+
+class _Calls:
+    """Implements `CallHandler`; notes which peers call."""
+
+    def __init__(self, receiver: MeshReceiver, exchange: ViewExchange) -> None:
+        self._receiver = receiver
+        self._exchange = exchange
+
+    async def on_call(
+        self, sender_id: str, request: messages.CallRequest
+    ) -> messages.CallReply:
+        """Runs one request; cancelled when the sender cancels it."""
+        self._exchange.meet(sender_id)
+        return await self._receiver.on_call(sender_id, request)
+
+    async def on_fence(
+        self, sender_id: str, fence: messages.CallFence
+    ) -> messages.StreamReply:
+        """Answers for one request or refuses it for ever."""
+        return await self._receiver.on_fence(sender_id, fence)
+
+
+class MeshNode:
+    """One node: wires its parts, starts and stops them, runs the tick."""
+
+    def __init__(
+        self,
+        settings: MeshSettings,
+        store: PublishedStore,
+        decode: Decode,
+        dialect: HttpDialect,
+        rng: random.Random,
+        log: EventLog,
+    ) -> None:
+        """Wires a node inside the running loop; `start` opens sockets.
+
+        Args:
+            settings: Checked settings.
+            store: Store of the published state.
+            decode: Translates the items of the store.
+            dialect: Reads and writes the platform's headers.
+            rng: Source of random choices; seeded in tests.
+            log: Receives the events.
+        """
+        self._settings = settings
+        self.log = log
+        loop = asyncio.get_running_loop()
+        clock = loop.time
+        host = settings.node.host
+        peer_port = split_address(settings.addresses.peers)[1]
+        self.view = MeshView(decode)
+        self.table = UpstreamTable(self.view, clock)
+        self.traffic = LinkTraffic()
+        incarnation = int(time.time() * 1000)
+        identity = NodeIdentity(
+            host,
+            process_incarnation=incarnation,
+            member_incarnation=lambda: incarnation,
+            version=lambda: Version(self.view.revision, ""),
+            load=lambda: (self.receiver.active, self.receiver.limit),
+        )
+        connector = Connector(
+            identity, _PeerAddresses(peer_port), self.traffic, None
+        )
+        self.pool = PeerPool(connector, rng)
+        self.links = ControlPlane(connector, rng)
+        self.exchange = ViewExchange(
+            host,
+            settings.node.zone,
+            self.view,
+            self.table,
+            self.links,
+            clock,
+            log,
+        )
+        self.links.set_handler(self.exchange)
+        self.reader = StoreReader(
+            store, self.view, self.table, self.exchange, rng, clock, log
+        )
+        upstream_address = split_address(settings.addresses.upstream)
+        self.client = UpstreamClient(*upstream_address, dialect, clock)
+        self.receiver = MeshReceiver(
+            upstream_address,
+            self.view,
+            self.table,
+            self.client,
+            dialect,
+            clock,
+            log,
+        )
+        bounds = settings.bounds
+        self.sender = MeshSender(
+            settings.node.zone,
+            self.view,
+            self.table,
+            self.pool,
+            RetryLimits(
+                bounds.retry_budget_ratio,
+                bounds.retry_budget_slack,
+                bounds.retry_budget_window_s,
+            ),
+            rng,
+            clock,
+            log,
+        )
+        self.ingress = MeshIngress(
+            self.sender,
+            dialect,
+            settings.node.service,
+            f"{host}-{incarnation:x}",
+        )
+        self._ready = StatusServer(READY_PATH, self._readiness)
+        self._metrics = StatusServer(METRICS_PATH, lambda: (200, render(self)))
+        self._server = PeerServer(
+            identity,
+            _Calls(self.receiver, self.exchange),
+            self.links,
+            self.traffic,
+            None,
+        )
+        self._clock = clock
+        self._tasks: list[asyncio.Task[None]] = []
+        self.stop_requested = asyncio.Event()
+        self._is_stopping = False
+        self.view.subscribe(self._log_changes)
+
+    def _readiness(self) -> tuple[int, str]:
+        if self._is_stopping:
+            return 503, "stopping"
+        if self.view.config is None:
+            return 503, "no configuration"
+        return 200, "ready"
+
+    async def start(self) -> None:
+        """Opens all sockets and begins to read the published state.
+
+        Raises:
+            OSError: An address cannot be listened on.
+        """
+        addresses = self._settings.addresses
+        await self._server.start(*split_address(addresses.peers))
+        await self.ingress.start(*split_address(addresses.callers))
+        await self._ready.start(*split_address(addresses.ready))
+        await self._metrics.start(*split_address(addresses.metrics))
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self.reader.run()),
+            loop.create_task(self._run_ticks()),
+        ]
+        self.log.info(
+            Event.NODE_STARTED,
+            host=self._settings.node.host,
+            service=self._settings.node.service,
+            zone=self._settings.node.zone,
+        )
+
+    async def _run_ticks(self) -> None:
+        while True:
+            self.tick()
+            await asyncio.sleep(TICK_S)
+
+    def tick(self) -> None:
+        """Runs every system once over its tables."""
+        now_s = self._clock()
+        self.table.tick(now_s)
+        self.exchange.tick()
+        self.links.close_silent(now_s)
+        self.receiver.tick()
+
+    async def stop(self) -> None:
+        """Performs a graceful shutdown within the grace period.
+
+        The upstream is given no new work, while callers are served until the
+        platform has seen that the node is not ready: what runs here and what
+        calls from here is finished.
+        """
+        started_s = self._clock()
+        end_s = started_s + self._settings.bounds.grace_period_s - STOP_MARGIN_S
+        self._is_stopping = True
+        self.receiver.is_stopping = True
+        self.ingress.is_stopping = True
+        self.receiver.tick()
+        self.log.info(
+            Event.STOP_BEGUN,
+            in_flight=self.ingress.in_flight,
+            active=self.receiver.active,
+        )
+        while self._clock() < end_s:
+            is_seen = self._clock() - started_s >= STOP_SPREAD_S
+            if is_seen and self.receiver.is_idle and not self.ingress.in_flight:
+                break
+            await asyncio.sleep(TICK_S / 2)
+        cut = self.receiver.active + self.ingress.in_flight
+        await self.close()
+        self.log.info(Event.NODE_STOPPED, cut=cut)
+
+    async def close(self) -> None:
+        """Closes all sockets at once, without waiting for requests."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.ingress.close()
+        await self._ready.close()
+        await self._metrics.close()
+        self.links.close()
+        await self._server.stop()
+        await self.pool.close()
+        await self.client.close()
+
+    def _log_changes(self, changes: Sequence[Change]) -> None:
+        for change in unreadable(changes):
+            self.log.warning(
+                Event.ITEM_UNREADABLE,
+                detail=getattr(change.after, "detail", ""),
+                revision=change.revision,
+            )
+        for change in changes:
+            entry = change.after or change.before
+            if isinstance(entry, UpstreamEntry):
+                self.log.info(
+                    Event.UPSTREAM_CHANGED,
+                    upstream=entry.upstream_id,
+                    service=entry.service,
+                    zone=entry.zone,
+                    is_present=change.after is not None,
+                    is_ready=entry.is_ready,
+                    cold_left_ms=int(entry.cold_left_s * 1000),
+                    revision=change.revision,
+                )
+        config = self.view.config
+        if config is not None and any(
+            change.revision == self.view.config_revision for change in changes
+        ):
+            self.log.info(
+                Event.CONFIG_APPLIED,
+                version=config.version,
+                revision=self.view.config_revision,
+                routes=len(config.routes),
+                zones_out=sorted(self.view.zones_out),
+            )
--- /dev/null
+++ b/magnoliafork/mesh/receiver.py
@@ -0,0 +1,548 @@
+"""Receiver side: decides what the upstream on this machine gets, and when."""
+
+import asyncio
+import collections
+import dataclasses
+from collections.abc import Callable, Sequence
+
+from magnoliafork.admission.ledger import EntryState, Ledger, request_digest
+from magnoliafork.mesh.cold import COLD_RATE_FACTOR, ColdGate
+from magnoliafork.mesh.dialect import HttpDialect
+from magnoliafork.mesh.model import MeshService, UpstreamEntry
+from magnoliafork.mesh.upstream import (
+    Upstream,
+    UpstreamAnswered,
+    UpstreamCall,
+    UpstreamNotRun,
+    UpstreamResult,
+    UpstreamUnknown,
+)
+from magnoliafork.mesh.upstream_table import UpstreamTable
+from magnoliafork.mesh.view import Change, MeshView
+from magnoliafork.mesh.work_queue import (
+    Capacity,
+    WaitingCall,
+    WorkQueue,
+    WorkTimes,
+    due_s,
+)
+from magnoliafork.model.request import (
+    Answered,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    OutcomeUnknown,
+    UnknownReason,
+)
+from magnoliafork.observe.events import Event
+from magnoliafork.observe.logs import EventLog
+from magnoliafork.wire import messages
+from magnoliafork.wire.messages import FenceState
+
+# The upstream answers at its deadline; this long after, it never will.
+ANSWER_GRACE_S = 0.06
+# After a refused connection the upstream is not tried for this long.
+DOWN_PAUSE_S = 0.25
+# Pause between health checks while it is not known whether it is cold.
+HEALTH_PAUSE_S = 0.4
+# Slots of an upstream whose entry is not known.
+DEFAULT_SLOTS = 4
+# Weight of the newest result in the share of failures.
+FAILURE_WEIGHT = 0.15
+# Time that senders leave an upstream that takes no work at all.
+LEAVING_RETRY_MS = 1000
+DOWN_RETRY_MS = 300
+_SERVER_ERROR = 500
+_MISDIRECTED = 421
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Ticket:
+    """A request that waits for its turn."""
+
+    request: messages.CallRequest
+    turn: asyncio.Future[NotRun | None]
+
+
+@dataclasses.dataclass(slots=True)
+class ReceiverCounters:
+    """Counts since the start.
+
+    Attributes:
+        calls: Calls of peers.
+        sent: Requests given to the upstream.
+        refused_by: Refused calls by reason.
+        broken: Requests without a usable answer.
+        health_checks: Health checks sent.
+    """
+
+    calls: int = 0
+    sent: int = 0
+    refused_by: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    broken: int = 0
+    health_checks: int = 0
+
+
+class MeshReceiver:
+    """Serves the calls of peers; the only way to the upstream."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        view: MeshView,
+        table: UpstreamTable,
+        client: Upstream,
+        dialect: HttpDialect,
+        clock: Callable[[], float],
+        log: EventLog,
+    ) -> None:
+        """Creates the receiver of the upstream at an address."""
+        self._address = address
+        self._view = view
+        self._table = table
+        self._client = client
+        self._dialect = dialect
+        self._clock = clock
+        self._log = log
+        self._cold = ColdGate()
+        self._queue: WorkQueue[_Ticket] = WorkQueue()
+        self._work = WorkTimes()
+        self._ledger = Ledger()
+        self._jobs: dict[str, asyncio.Task[Outcome]] = {}
+        self._active: dict[int, tuple[float, float]] = {}
+        self._next_run = 0
+        self._down_until_s = 0.0
+        self._failure_share = 0.0
+        self._wake: asyncio.TimerHandle | None = None
+        self._check: asyncio.Task[None] | None = None
+        self._health_at_s = 0.0
+        self._was_zone_out = False
+        self.is_stopping = False
+        self.counters = ReceiverCounters()
+        view.subscribe(self._on_changes)
+
+    # State.
+
+    @property
+    def active(self) -> int:
+        """Requests that the upstream runs now."""
+        return len(self._active)
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait."""
+        return len(self._queue)
+
+    @property
+    def limit(self) -> int:
+        """Requests that the upstream runs at a time."""
+        entry = self._entry()
+        return entry.slots if entry is not None else DEFAULT_SLOTS
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request runs or waits."""
+        return not self._active and not len(self._queue) and not self._jobs
+
+    def _entry(self) -> UpstreamEntry | None:
+        return self._table.at(*self._address)
+
+    def _service(self) -> MeshService | None:
+        entry, config = self._entry(), self._view.config
+        if entry is None or config is None:
+            return None
+        return config.services.get(entry.service)
+
+    def _standing(self, service_name: str) -> NotRunReason | None:
+        """Returns why the upstream takes no work at all, or None."""
+        if self.is_stopping:
+            return NotRunReason.LEAVING
+        if self._view.config is None:
+            return NotRunReason.NOT_READY
+        entry = self._entry()
+        if entry is None or entry.service != service_name:
+            return NotRunReason.NO_INSTANCE
+        if not entry.is_ready:
+            return NotRunReason.DRAINED
+        if entry.zone in self._view.zones_out:
+            return NotRunReason.ZONE_OUT
+        if self._clock() < self._down_until_s:
+            return NotRunReason.UNREACHABLE
+        return None
+
+    # Calls of peers.
+
+    async def on_call(
+        self, sender_id: str, request: messages.CallRequest
+    ) -> messages.CallReply:
+        """Runs one request; cancelled when the sender cancels it."""
+        del sender_id
+        self.counters.calls += 1
+        if request.repeatable:
+            outcome = await self._serve(request)
+        else:
+            outcome = await self._serve_once(request)
+        return self._reply(request, outcome)
+
+    async def on_fence(
+        self, sender_id: str, fence: messages.CallFence
+    ) -> messages.StreamReply:
+        """Answers for one request or refuses it for ever."""
+        del sender_id
+        job = self._jobs.get(fence.request_id)
+        if job is not None:
+            outcome = await asyncio.shield(job)
+            return self._reply_to_fence(outcome)
+        entry = self._ledger.get(fence.request_id, self._clock())
+        if entry is None or entry.state is EntryState.REFUSED:
+            self._ledger.refuse(fence.request_id, self._clock())
+            return messages.CallFenceReply(0, FenceState.NEVER_RAN)
+        if entry.outcome is None:
+            return messages.CallFenceReply(0, FenceState.FORGOTTEN)
+        return self._reply_to_fence(entry.outcome)
+
+    def _reply_to_fence(self, outcome: Outcome) -> messages.StreamReply:
+        if isinstance(outcome, NotRun):
+            return messages.CallFenceReply(0, FenceState.NEVER_RAN)
+        return self._reply(None, outcome)
+
+    async def _serve_once(self, request: messages.CallRequest) -> Outcome:
+        request_id = request.request_id
+        job = self._jobs.get(request_id)
+        if job is None:
+            known = self._ledger.get(request_id, self._clock())
+            if known is not None and known.outcome is not None:
+                return known.outcome
+            if known is not None:
+                return NotRun(NotRunReason.REFUSED_FOR_EVER)
+            digest = request_digest(request.method, request.path, request.body)
+            if not self._ledger.start(request_id, digest, self._clock()):
+                return NotRun(NotRunReason.OVERLOADED, DOWN_RETRY_MS)
+            job = asyncio.create_task(self._run_once(request))
+            self._jobs[request_id] = job
+            job.add_done_callback(lambda _: self._jobs.pop(request_id, None))
+        try:
+            return await asyncio.shield(job)
+        except asyncio.CancelledError:
+            # What waits is dropped; what runs goes on, so that a fence finds
+            # its outcome.
+            self._drop_waiting(request_id)
+            raise
+
+    async def _run_once(self, request: messages.CallRequest) -> Outcome:
+        outcome = await self._serve(request)
+        now_s = self._clock()
+        if isinstance(outcome, NotRun):
+            self._ledger.refuse(request.request_id, now_s)
+        else:
+            self._ledger.finish(request.request_id, outcome, now_s)
+        return outcome
+
+    def _drop_waiting(self, request_id: str) -> None:
+        for waiting in self._queue:
+            ticket = waiting.item
+            if ticket.request.request_id == request_id:
+                self._queue.remove(waiting)
+                if not ticket.turn.done():
+                    ticket.turn.set_result(NotRun(NotRunReason.DEADLINE))
+                return
+
+    # One request.
+
+    async def _serve(self, request: messages.CallRequest) -> Outcome:
+        now_s = self._clock()
+        standing = self._standing(request.service_name)
+        if standing is not None:
+            return self._refuse(request, standing, self._away_ms(standing))
+        deadline_s = now_s + request.remaining_ms / 1000
+        target_s = request.target_latency_ms / 1000
+        ticket = _Ticket(request, asyncio.get_running_loop().create_future())
+        waiting = WaitingCall(
+            ticket,
+            due_s(now_s, target_s, request.priority),
+            deadline_s,
+            self._work.work_s(request.target_latency_ms),
+        )
+        refusal = self._queue.refusal(
+            waiting, target_s, self._capacity(now_s), now_s
+        )
+        if refusal is not None and refusal.is_too_late:
+            return self._refuse(request, NotRunReason.DEADLINE, 0)
+        if refusal is not None:
+            retry_ms = int(refusal.retry_after_s * 1000)
+            return self._refuse(request, NotRunReason.OVERLOADED, retry_ms)
+        self._queue.push(waiting)
+        self._dispatch()
+        try:
+            verdict = await ticket.turn
+        except asyncio.CancelledError:
+            if not self._queue.remove(waiting):
+                self._release(ticket)
+            raise
+        if verdict is not None:
+            return verdict
+        return await self._run(request, deadline_s)
+
+    def _release(self, ticket: _Ticket) -> None:
+        """Gives back the turn of a request that was cancelled just then."""
+        turn = ticket.turn
+        if turn.done() and not turn.cancelled() and turn.result() is None:
+            self._active.pop(id(ticket.request), None)
+            self._dispatch()
+
+    async def _run(
+        self, request: messages.CallRequest, deadline_s: float
+    ) -> Outcome:
+        started_s = self._clock()
+        try:
+            result = await self._send(request, deadline_s)
+        finally:
+            self._active.pop(id(request), None)
+            self._dispatch()
+        now_s = self._clock()
+        if isinstance(result, UpstreamAnswered):
+            self._work.record(request.target_latency_ms, now_s - started_s)
+            self._note_result(result.status >= _SERVER_ERROR)
+            return Answered(result.status, result.headers, result.body)
+        if isinstance(result, UpstreamNotRun):
+            return self._not_run(request, result)
+        self._note_result(True)
+        self.counters.broken += 1
+        self._log.warning(
+            Event.CALL_BROKEN,
+            request_id=request.request_id,
+            detail=result.detail,
+            after_ms=int((now_s - started_s) * 1000),
+        )
+        if now_s >= deadline_s:
+            return OutcomeUnknown(UnknownReason.UPSTREAM_TIMEOUT)
+        if result.is_connection_lost:
+            self._doubt("connection lost")
+        return OutcomeUnknown(UnknownReason.UPSTREAM_BROKE)
+
+    async def _send(
+        self, request: messages.CallRequest, deadline_s: float
+    ) -> UpstreamResult:
+        now_s = self._clock()
+        remaining_ms = int((deadline_s - now_s) * 1000)
+        if remaining_ms <= 0:
+            return UpstreamNotRun("deadline passed", was_sent=False)
+        headers = tuple(
+            zip(request.header_names, request.header_values, strict=True)
+        )
+        entry = self._entry()
+        upstream_id = entry.upstream_id if entry else request.upstream_id
+        call = UpstreamCall(
+            method=request.method,
+            target=request.path,
+            headers=self._dialect.to_upstream(
+                headers, upstream_id, remaining_ms
+            ),
+            body=request.body,
+            attempt_id=self._dialect.caller_facts(headers).attempt_id,
+            is_repeatable=request.repeatable,
+        )
+        self.counters.sent += 1
+        try:
+            async with asyncio.timeout_at(deadline_s + ANSWER_GRACE_S):
+                return await self._client.send(call)
+        except TimeoutError:
+            return UpstreamUnknown("no answer in time", False)
+
+    def _not_run(
+        self, request: messages.CallRequest, result: UpstreamNotRun
+    ) -> NotRun:
+        if result.status:
+            self._note_result(True)
+            if result.status == _MISDIRECTED:
+                self._doubt("another upstream has the address")
+            return self._refuse(
+                request, NotRunReason.UPSTREAM_REFUSED, DOWN_RETRY_MS
+            )
+        self._down_until_s = self._clock() + DOWN_PAUSE_S
+        self._doubt(result.detail)
+        return self._refuse(request, NotRunReason.UNREACHABLE, DOWN_RETRY_MS)
+
+    def _refuse(
+        self,
+        request: messages.CallRequest,
+        reason: NotRunReason,
+        retry_after_ms: int,
+    ) -> NotRun:
+        self.counters.refused_by[reason.value] += 1
+        self._log.info(
+            Event.CALL_REFUSED,
+            request_id=request.request_id,
+            reason=reason.value,
+            retry_after_ms=retry_after_ms,
+            active=self.active,
+            queued=self.queued,
+            limit=self.limit,
+        )
+        return NotRun(reason, retry_after_ms)
+
+    @staticmethod
+    def _away_ms(reason: NotRunReason) -> int:
+        if reason is NotRunReason.UNREACHABLE:
+            return DOWN_RETRY_MS
+        return LEAVING_RETRY_MS
+
+    # Queue.
+
+    def _capacity(self, now_s: float) -> Capacity:
+        left_s = sum(
+            max(0.0, started_s + work_s - now_s)
+            for started_s, work_s in self._active.values()
+        )
+        rate = 0.0
+        if self._cold.is_cold(now_s):
+            rate = self._cold_per_s() * COLD_RATE_FACTOR
+        return Capacity(self.limit, self.active, left_s, rate)
+
+    def _cold_per_s(self) -> float:
+        service = self._service()
+        return service.cold_requests_per_s if service is not None else 1.0
+
+    def _dispatch(self) -> None:
+        now_s = self._clock()
+        for late in self._queue.expired(now_s):
+            refusal = self._refuse(late.item.request, NotRunReason.DEADLINE, 0)
+            if not late.item.turn.done():
+                late.item.turn.set_result(refusal)
+        while len(self._queue) and self.active < self.limit:
+            wait_s = self._cold.wait_s(self._cold_per_s(), now_s)
+            if wait_s > 0:
+                self._dispatch_after(wait_s)
+                return
+            waiting = self._queue.pop()
+            assert waiting is not None
+            request = waiting.item.request
+            standing = self._standing(request.service_name)
+            if waiting.item.turn.done():
+                continue
+            if standing is not None:
+                waiting.item.turn.set_result(
+                    self._refuse(request, standing, self._away_ms(standing))
+                )
+                continue
+            self._cold.note_sent(now_s)
+            self._active[id(request)] = (now_s, waiting.work_s)
+            waiting.item.turn.set_result(None)
+
+    def _dispatch_after(self, wait_s: float) -> None:
+        if self._wake is not None:
+            self._wake.cancel()
+        loop = asyncio.get_running_loop()
+        self._wake = loop.call_later(wait_s + 0.001, self._dispatch)
+
+    # What is known of the upstream.
+
+    def _note_result(self, is_failure: bool) -> None:
+        value = 1.0 if is_failure else 0.0
+        self._failure_share += (value - self._failure_share) * FAILURE_WEIGHT
+
+    def _doubt(self, cause: str) -> None:
+        if self._cold.is_known:
+            self._log.info(Event.UPSTREAM_COLD, cause=cause, is_known=False)
+        self._cold.doubt()
+        self._check_health()
+
+    def _on_changes(self, changes: Sequence[Change]) -> None:
+        own_host, own_port = self._address
+        for change in changes:
+            after = change.after
+            if not isinstance(after, UpstreamEntry):
+                continue
+            if (after.host, after.port) != (own_host, own_port):
+                continue
+            self._on_entry(change.before, after)
+        is_out = self._is_zone_out()
+        if self._was_zone_out and not is_out:
+            # Upstreams of a zone may be cold when it comes back.
+            self._doubt("zone taken back")
+        self._was_zone_out = is_out
+        self._dispatch()
+
+    def _is_zone_out(self) -> bool:
+        entry = self._entry()
+        return entry is not None and entry.zone in self._view.zones_out
+
+    def _on_entry(self, before: object, after: UpstreamEntry) -> None:
+        is_same = (
+            isinstance(before, UpstreamEntry)
+            and before.upstream_id == after.upstream_id
+            and before.born_ms == after.born_ms
+        )
+        if not is_same:
+            self._down_until_s = 0.0
+            self._doubt(f"new upstream {after.upstream_id}")
+        elif after.cold_left_s > 0:
+            self._cold.extend(after.cold_left_s, self._clock())
+
+    def _check_health(self) -> None:
+        if self._check is None or self._check.done():
+            self._check = asyncio.create_task(self._learn_cold())
+
+    async def _learn_cold(self) -> None:
+        while not self._cold.is_known and not self.is_stopping:
+            service = self._service()
+            now_s = self._clock()
+            if service is not None and now_s >= self._health_at_s:
+                self._health_at_s = now_s + HEALTH_PAUSE_S
+                self.counters.health_checks += 1
+                facts = await self._client.health(service.health_path)
+                if facts is not None and not facts.upstream_id:
+                    facts = None
+                if facts is not None:
+                    self._down_until_s = 0.0
+                    self._cold.learn(facts.cold_left_s, self._clock())
+                    self._log.info(
+                        Event.UPSTREAM_COLD,
+                        upstream=facts.upstream_id,
+                        cold_left_ms=int(facts.cold_left_s * 1000),
+                        is_known=True,
+                    )
+                    self._dispatch()
+                    return
+            await asyncio.sleep(HEALTH_PAUSE_S / 4)
+
+    def tick(self) -> None:
+        """Serves the queue; called several times a second."""
+        self._dispatch()
+
+    # Replies.
+
+    def _reply(
+        self, request: messages.CallRequest | None, outcome: Outcome
+    ) -> messages.CallReply:
+        kind = request.target_latency_ms if request is not None else 0
+        work_ms = int(self._work.work_s(kind) * 1000)
+        failure_permille = int(self._failure_share * 1000)
+        if isinstance(outcome, Answered):
+            return messages.CallAnswer(
+                0,
+                outcome.status,
+                tuple(name for name, _ in outcome.headers),
+                tuple(value for _, value in outcome.headers),
+                outcome.body,
+                self.active,
+                self.limit,
+                self.queued,
+                work_ms,
+                failure_permille,
+            )
+        if isinstance(outcome, NotRun):
+            return messages.CallRefused(
+                0,
+                outcome.reason.value,
+                outcome.retry_after_ms,
+                self.active,
+                self.limit,
+                "",
+                self.queued,
+                work_ms,
+                failure_permille,
+            )
+        return messages.CallUnknown(0, outcome.reason.value)
--- /dev/null
+++ b/magnoliafork/mesh/settings.py
@@ -0,0 +1,131 @@
+"""Settings of a mesh node, validated at the border."""
+
+import ipaddress
+from typing import Annotated, Literal
+
+import pydantic
+import yaml
+
+from magnoliafork.model.result import Err, Ok, Result
+
+Share = Annotated[float, pydantic.Field(ge=0, le=10)]
+Seconds = Annotated[float, pydantic.Field(ge=0, le=3600)]
+
+
+class _Section(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+def _check_address(text: str) -> str:
+    host, separator, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        raise ValueError(f"must be IP:PORT, not '{text}'") from None
+    if not separator or not port.isdigit() or not 0 <= int(port) <= 65535:
+        raise ValueError(f"must be IP:PORT, not '{text}'")
+    return text
+
+
+Address = Annotated[str, pydantic.AfterValidator(_check_address)]
+
+
+class Placement(_Section):
+    """Where the node runs.
+
+    Attributes:
+        host: IP address of the machine; names the node among its peers.
+        zone: Availability zone.
+        service: Service of the upstream on this machine.
+    """
+
+    host: Annotated[str, pydantic.Field(min_length=1)]
+    zone: Annotated[str, pydantic.Field(min_length=1)]
+    service: Annotated[str, pydantic.Field(min_length=1)]
+
+
+class Addresses(_Section):
+    """Addresses that the node listens on and connects to.
+
+    Attributes:
+        callers: Listens for requests of callers on this machine.
+        peers: Listens for other nodes; the port is the same on all machines.
+        ready: Listens for readiness checks.
+        metrics: Listens for requests for metrics.
+        upstream: Connects to the upstream on this machine.
+        store: Connects to the store of the published state.
+    """
+
+    callers: Address
+    peers: Address
+    ready: Address
+    metrics: Address
+    upstream: Address
+    store: Address
+
+
+class Bounds(_Section):
+    """Limits that the deployment sets.
+
+    Attributes:
+        grace_period_s: Time between SIGTERM and SIGKILL.
+        retry_budget_ratio: Extra attempts allowed for each request.
+        retry_budget_slack: Extra attempts of the fleet in a window.
+        retry_budget_window_s: Length of that window.
+    """
+
+    grace_period_s: Seconds = 6.0
+    retry_budget_ratio: Share = 0.2
+    retry_budget_slack: Annotated[float, pydantic.Field(ge=0)] = 60.0
+    retry_budget_window_s: Annotated[float, pydantic.Field(gt=0)] = 10.0
+
+
+class Logs(_Section):
+    """What is logged.
+
+    Attributes:
+        level: Lowest level that is written.
+    """
+
+    level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+class MeshSettings(_Section):
+    """All settings of a mesh node."""
+
+    node: Placement
+    addresses: Addresses
+    bounds: Bounds = Bounds()
+    logs: Logs = Logs()
+
+
+def load(text: str) -> Result[MeshSettings, str]:
+    """Loads settings from YAML text and reports all errors at once.
+
+    >>> load("node: 3").errors[0]
+    'node: Input should be a valid dictionary or instance of Placement'
+    """
+    try:
+        values = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        return Err((f"not YAML: {error}",))
+    try:
+        return Ok(MeshSettings.model_validate(values))
+    except pydantic.ValidationError as failure:
+        return Err(
+            tuple(
+                ".".join(str(part) for part in detail["loc"])
+                + f": {detail['msg']}"
+                for detail in failure.errors(include_url=False)
+            )
+        )
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Splits a validated address.
+
+    >>> split_address("10.1.0.8:8301")
+    ('10.1.0.8', 8301)
+    """
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/magnoliafork/mesh/source.py
@@ -0,0 +1,40 @@
+"""What the node needs from the store that publishes the configuration."""
+
+import dataclasses
+from typing import Protocol
+
+from magnoliafork.mesh.view import ViewDelta
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistoryGone:
+    """The store no longer has the changes after the asked revision."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreUnavailable:
+    """The store gave no usable answer.
+
+    Attributes:
+        detail: Cause for logs.
+    """
+
+    detail: str
+
+
+class PublishedStore(Protocol):
+    """Reads of the published state."""
+
+    async def read_all(self) -> ViewDelta | StoreUnavailable:
+        """Reads the whole state; its revision is one that it contains."""
+        ...
+
+    async def watch(
+        self, after_revision: int, wait_s: float
+    ) -> ViewDelta | HistoryGone | StoreUnavailable:
+        """Waits for changes after a revision.
+
+        Returns:
+            The changes; without items when none came in time.
+        """
+        ...
--- /dev/null
+++ b/magnoliafork/mesh/view.py
@@ -0,0 +1,210 @@
+"""The published state as one node knows it.
+
+The store counts its changes with one revision. A view is the state at one
+revision, so that of two views the one with the higher revision is the newer
+one: merging views of peers needs no other rule, and no peer can take a node
+back to an older configuration.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Callable, Iterable, Sequence
+
+from magnoliafork.mesh.model import (
+    Fact,
+    MeshConfig,
+    StoredItem,
+    Unreadable,
+    UpstreamEntry,
+    ZoneOut,
+)
+
+# Changes that a peer which is behind may ask for; with fewer than one change
+# a second this covers an hour.
+MAX_LOG_ITEMS = 4096
+
+Decode = Callable[[StoredItem], Fact | None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """What an item said before and says now; None where it is absent."""
+
+    key: str
+    revision: int
+    before: Fact | None
+    after: Fact | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ViewDelta:
+    """Items that bring a view from one revision to another.
+
+    Attributes:
+        base_revision: Revision needed; 0 when the items are the whole state.
+        revision: Revision afterwards.
+        items: Changed items; removed ones have an empty value.
+    """
+
+    base_revision: int
+    revision: int
+    items: tuple[StoredItem, ...]
+
+
+class MeshView:
+    """Items of the store and what they mean."""
+
+    def __init__(self, decode: Decode) -> None:
+        """Creates an empty view.
+
+        Args:
+            decode: Translates an item; None for one of no concern.
+        """
+        self._decode = decode
+        self._items: dict[str, StoredItem] = {}
+        self._facts: dict[str, Fact] = {}
+        self._log: collections.deque[StoredItem] = collections.deque(
+            maxlen=MAX_LOG_ITEMS
+        )
+        self._log_base = 0
+        self.revision = 0
+        self.change_count = 0
+        self.config: MeshConfig | None = None
+        self.config_revision = 0
+        self._subscribers: list[Callable[[Sequence[Change]], None]] = []
+        self._zones_out: frozenset[str] = frozenset()
+        self._by_service: dict[str, tuple[UpstreamEntry, ...]] = {}
+        self._upstreams: dict[str, UpstreamEntry] = {}
+
+    @property
+    def zones_out(self) -> frozenset[str]:
+        """Availability zones that receive no new work."""
+        return self._zones_out
+
+    @property
+    def upstreams(self) -> dict[str, UpstreamEntry]:
+        """All readable entries by upstream id."""
+        return self._upstreams
+
+    def upstreams_of(self, service: str) -> tuple[UpstreamEntry, ...]:
+        """Returns the entries of a service, in order of id."""
+        return self._by_service.get(service, ())
+
+    def upstream_at(self, host: str, port: int) -> UpstreamEntry | None:
+        """Returns the youngest entry with an address, or None."""
+        found = [
+            entry
+            for entry in self._upstreams.values()
+            if entry.host == host and entry.port == port
+        ]
+        return max(found, key=lambda entry: entry.born_ms, default=None)
+
+    def subscribe(self, notify: Callable[[Sequence[Change]], None]) -> None:
+        """Calls a function with the changes after each step forward."""
+        self._subscribers.append(notify)
+
+    def apply(self, delta: ViewDelta) -> bool:
+        """Takes over a delta.
+
+        Returns:
+            False when the delta does not build on this view; nothing has
+            then changed.
+        """
+        if delta.revision <= self.revision:
+            return True
+        if delta.base_revision > self.revision:
+            return False
+        if delta.base_revision == 0:
+            changes = self._replace(delta.items)
+            self._log.clear()
+            self._log_base = delta.revision
+        else:
+            changes = self._merge(delta.items)
+        self.revision = delta.revision
+        if changes:
+            self._index()
+            self.change_count += 1
+            for notify in self._subscribers:
+                notify(changes)
+        return True
+
+    def delta_after(self, revision: int) -> ViewDelta:
+        """Returns what a view at a revision lacks; the whole if unknown."""
+        oldest = self._log[0].revision - 1 if self._is_log_full() else 0
+        oldest = max(oldest, self._log_base)
+        if revision and revision >= oldest:
+            newest = {
+                item.key: item for item in self._log if item.revision > revision
+            }
+            return ViewDelta(revision, self.revision, tuple(newest.values()))
+        return ViewDelta(0, self.revision, tuple(self._items.values()))
+
+    def _is_log_full(self) -> bool:
+        return len(self._log) == MAX_LOG_ITEMS
+
+    def _merge(self, items: Iterable[StoredItem]) -> list[Change]:
+        changes = []
+        for item in items:
+            known = self._items.get(item.key)
+            if item.revision <= self.revision:
+                continue
+            if known is not None and known.revision >= item.revision:
+                continue
+            self._log.append(item)
+            changes.append(self._set(item))
+        return changes
+
+    def _replace(self, items: Iterable[StoredItem]) -> list[Change]:
+        fresh = {item.key: item for item in items}
+        changes = [
+            self._set(StoredItem(key, self.revision, b""))
+            for key in list(self._items)
+            if key not in fresh
+        ]
+        for item in fresh.values():
+            known = self._items.get(item.key)
+            if known is None or known.revision < item.revision:
+                changes.append(self._set(item))
+        return changes
+
+    def _set(self, item: StoredItem) -> Change:
+        before = self._facts.pop(item.key, None)
+        after = None
+        if item.value:
+            self._items[item.key] = item
+            after = self._decode(item)
+        else:
+            self._items.pop(item.key, None)
+        if after is not None:
+            self._facts[item.key] = after
+        return Change(item.key, item.revision, before, after)
+
+    def _index(self) -> None:
+        self._upstreams = {
+            fact.upstream_id: fact
+            for fact in self._facts.values()
+            if isinstance(fact, UpstreamEntry)
+        }
+        by_service: dict[str, list[UpstreamEntry]] = {}
+        for upstream_id in sorted(self._upstreams):
+            entry = self._upstreams[upstream_id]
+            by_service.setdefault(entry.service, []).append(entry)
+        self._by_service = {
+            name: tuple(entries) for name, entries in by_service.items()
+        }
+        self._zones_out = frozenset(
+            fact.zone
+            for fact in self._facts.values()
+            if isinstance(fact, ZoneOut)
+        )
+        for key, fact in self._facts.items():
+            if not isinstance(fact, MeshConfig):
+                continue
+            if self.config is None or fact.version > self.config.version:
+                self.config = fact
+                self.config_revision = self._items[key].revision
+
+
+def unreadable(changes: Iterable[Change]) -> list[Change]:
+    """Returns the changes to items that cannot be read."""
+    return [c for c in changes if isinstance(c.after, Unreadable)]
--- /dev/null
+++ b/magnoliafork/mesh/work_queue.py
@@ -0,0 +1,196 @@
+"""Order and admission of the requests that wait for the upstream.
+
+Answers the pattern of an overload: more requests arrive than the upstream can
+run. A request waits only if it can still be answered in time; the others are
+refused at once, while their callers have time for another attempt. Requests
+with a short target go first, because the calls of running requests have one
+and a failed call wastes a whole run.
+"""
+
+import dataclasses
+from collections.abc import Iterator
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+
+# Share of the target latency that a request may spend until its answer.
+PATIENCE_SHARE = 0.9
+# Weight of the target latency in the order, by rank: the due time of a request
+# of the highest rank is earlier.
+RANK_WEIGHT = (0.4, 0.5, 1.0)
+# Assumed work of requests of a kind that was not seen yet.
+DEFAULT_WORK_S = 0.05
+# Weight of the newest value in averages; about the last ten count.
+AVERAGE_WEIGHT = 0.1
+MAX_WORK_KINDS = 256
+MIN_RETRY_AFTER_S = 0.1
+MAX_RETRY_AFTER_S = 2.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class WaitingCall(Generic[T]):
+    """A request that waits.
+
+    Attributes:
+        item: The request.
+        due_s: Time by which the order is made.
+        deadline_s: Time at which its caller gives up.
+        work_s: Time that the upstream will take for it.
+    """
+
+    item: T
+    due_s: float
+    deadline_s: float
+    work_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """A request is not admitted.
+
+    Attributes:
+        retry_after_s: Time after which it could be.
+        is_too_late: Whether it could not be answered before its deadline even
+            without a queue.
+    """
+
+    retry_after_s: float
+    is_too_late: bool = False
+
+
+class WorkTimes:
+    """Average time that the upstream takes, by kind of request."""
+
+    def __init__(self) -> None:
+        """Starts without values."""
+        self._by_kind_s: dict[int, float] = {}
+
+    def work_s(self, kind: int) -> float:
+        """Returns the average of a kind."""
+        known = self._by_kind_s.get(kind)
+        if known is not None:
+            return known
+        values = self._by_kind_s.values()
+        return max(values) if values else DEFAULT_WORK_S
+
+    def record(self, kind: int, seconds: float) -> None:
+        """Adds a value."""
+        known = self._by_kind_s.get(kind)
+        if known is None:
+            if len(self._by_kind_s) < MAX_WORK_KINDS:
+                self._by_kind_s[kind] = seconds
+            return
+        self._by_kind_s[kind] = known + (seconds - known) * AVERAGE_WEIGHT
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Capacity:
+    """What the upstream can do now.
+
+    Attributes:
+        slots: Requests that it runs at a time.
+        active: Requests that it runs now.
+        active_work_s: Work that those still need, over all of them.
+        rate_limit_per_s: Requests that it may get in a second; 0 for no limit.
+    """
+
+    slots: int
+    active: int
+    active_work_s: float
+    rate_limit_per_s: float
+
+
+class WorkQueue(Generic[T]):
+    """Requests that wait, in the order in which they will be served."""
+
+    def __init__(self) -> None:
+        """Creates an empty queue."""
+        self._waiting: list[WaitingCall[T]] = []
+
+    def __len__(self) -> int:
+        """Returns the number of requests that wait."""
+        return len(self._waiting)
+
+    def __iter__(self) -> Iterator[WaitingCall[T]]:
+        """Iterates in the order of service."""
+        return iter(self._waiting)
+
+    def wait_s(self, due_s: float, capacity: Capacity) -> float:
+        """Returns how long a request with a due time would wait."""
+        ahead = [call for call in self._waiting if call.due_s <= due_s]
+        if capacity.active + len(ahead) < capacity.slots:
+            wait_s = 0.0
+        else:
+            work_s = sum(call.work_s for call in ahead)
+            wait_s = (work_s + capacity.active_work_s) / capacity.slots
+        if capacity.rate_limit_per_s > 0:
+            wait_s = max(wait_s, len(ahead) / capacity.rate_limit_per_s)
+        return wait_s
+
+    def refusal(
+        self,
+        call: WaitingCall[T],
+        target_latency_s: float,
+        capacity: Capacity,
+        now_s: float,
+    ) -> Refusal | None:
+        """Returns why a request should not wait, or None if it should."""
+        left_s = call.deadline_s - now_s
+        if left_s < call.work_s / 2:
+            return Refusal(0.0, is_too_late=True)
+        wait_s = self.wait_s(call.due_s, capacity)
+        if wait_s <= 0.0:
+            return None
+        patience_s = max(
+            0.0,
+            min(target_latency_s * PATIENCE_SHARE, left_s) - call.work_s,
+        )
+        if wait_s <= patience_s:
+            return None
+        return Refusal(bounded_retry_after_s(wait_s - patience_s))
+
+    def push(self, call: WaitingCall[T]) -> None:
+        """Adds a request in its place."""
+        index = len(self._waiting)
+        while index and self._waiting[index - 1].due_s > call.due_s:
+            index -= 1
+        self._waiting.insert(index, call)
+
+    def pop(self) -> WaitingCall[T] | None:
+        """Takes the next request."""
+        return self._waiting.pop(0) if self._waiting else None
+
+    def remove(self, call: WaitingCall[T]) -> bool:
+        """Takes a request out; false when it no longer waits."""
+        if call not in self._waiting:
+            return False
+        self._waiting.remove(call)
+        return True
+
+    def expired(self, now_s: float) -> list[WaitingCall[T]]:
+        """Takes out the requests that can no longer be answered in time."""
+        late = [
+            call
+            for call in self._waiting
+            if call.deadline_s - now_s < call.work_s / 2
+        ]
+        for call in late:
+            self._waiting.remove(call)
+        return late
+
+
+def bounded_retry_after_s(seconds: float) -> float:
+    """Bounds the time that a caller is asked to wait."""
+    return min(max(seconds, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
+
+
+def due_s(arrived_s: float, target_latency_s: float, rank: int) -> float:
+    """Returns the time that orders a request; earlier goes first.
+
+    >>> due_s(10.0, 0.4, rank=2)
+    10.4
+    >>> due_s(10.0, 0.4, rank=1)
+    10.2
+    """
+    weight = RANK_WEIGHT[min(max(rank, 0), len(RANK_WEIGHT) - 1)]
+    return arrived_s + target_latency_s * weight
--- /dev/null
+++ b/magnoliafork/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: names, formats and calls."""
--- /dev/null
+++ b/magnoliafork/platform/daemon.py
@@ -0,0 +1,80 @@
+"""The daemon on the users' platform: one mesh node beside one upstream."""
+
+import asyncio
+import os
+import pathlib
+import random
+import signal
+import sys
+
+from magnoliafork.mesh.node import MeshNode
+from magnoliafork.mesh.settings import MeshSettings, load
+from magnoliafork.model.result import Err
+from magnoliafork.observe.events import Event
+from magnoliafork.observe.logs import EventLog, capture_library_logs
+from magnoliafork.platform.http import PlatformHttp
+from magnoliafork.platform.items import decode_item
+from magnoliafork.platform.store import PlatformStore
+
+SETTINGS_VARIABLE = "MAGNOLIAFORK_NODE_FILE"
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_BAD_SETTINGS = 2
+
+
+def main() -> int:
+    """Runs a node until SIGTERM; returns the exit code."""
+    path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    try:
+        loaded = load(path.read_text("utf-8"))
+    except OSError as error:
+        print(f"{path}: {error.strerror}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    if isinstance(loaded, Err):
+        for problem in loaded.errors:
+            print(f"{path}: {problem}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    return asyncio.run(run(loaded.value, path))
+
+
+async def run(settings: MeshSettings, path: pathlib.Path) -> int:
+    """Runs a node until it is asked to stop; returns the exit code."""
+    log = EventLog(settings.logs.level, sys.stdout)
+    capture_library_logs(log)
+    store = PlatformStore(settings.addresses.store)
+    node = MeshNode(
+        settings, store, decode_item, PlatformHttp(), random.Random(), log
+    )
+    try:
+        await node.start()
+    except OSError as error:
+        print(f"cannot listen: {error}", file=sys.stderr)
+        await store.close()
+        return EXIT_FAILED
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, node.stop_requested.set)
+    loop.add_signal_handler(signal.SIGHUP, reload, path, log)
+    await node.stop_requested.wait()
+    await node.stop()
+    await store.close()
+    return EXIT_OK
+
+
+def reload(path: pathlib.Path, log: EventLog) -> None:
+    """Reads the settings again and takes over what can change at run time."""
+    try:
+        loaded = load(path.read_text("utf-8"))
+    except OSError as error:
+        log.error(Event.SETTINGS_INVALID, detail=str(error.strerror))
+        return
+    if isinstance(loaded, Err):
+        for problem in loaded.errors:
+            log.error(Event.SETTINGS_INVALID, detail=problem)
+        return
+    log.set_level(loaded.value.logs.level)
+    log.info(Event.SETTINGS_RELOADED, level=loaded.value.logs.level)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/magnoliafork/platform/http.py
@@ -0,0 +1,98 @@
+"""Headers of the platform's requests and answers."""
+
+from magnoliafork.mesh.dialect import (
+    AnswerFacts,
+    CallerFacts,
+    HealthFacts,
+    RawHeaders,
+)
+from magnoliafork.model.request import Headers
+from magnoliafork.platform import names
+from magnoliafork.proxy.headers import without_hop_by_hop
+
+_SUCCESS = range(200, 300)
+_MISDIRECTED = 421
+_SET_BY_NODES = frozenset(
+    name.lower()
+    for name in (
+        names.DEADLINE_MS,
+        names.EXPECT_INSTANCE,
+        names.CALLER_SERVICE,
+    )
+)
+
+
+class PlatformHttp:
+    """Implements `HttpDialect`."""
+
+    def caller_facts(self, headers: RawHeaders) -> CallerFacts:
+        """Reads the headers of a caller's request."""
+        found = _lower(headers)
+        deadline = found.get(names.DEADLINE_MS.lower())
+        remaining_ms = None
+        if deadline is not None:
+            remaining_s = _seconds(deadline)
+            remaining_ms = int(remaining_s * 1000)
+        return CallerFacts(
+            found.get(names.ATTEMPT_ID.lower(), ""), remaining_ms
+        )
+
+    def forwarded(self, headers: RawHeaders, caller_service: str) -> Headers:
+        """Returns the headers that go on with a request."""
+        pairs = list(headers)
+        connection = [v for n, v in pairs if n.lower() == "connection"]
+        kept = [
+            pair
+            for pair in without_hop_by_hop(pairs, connection)
+            if pair[0].lower() not in _SET_BY_NODES
+        ]
+        return (*kept, (names.CALLER_SERVICE, caller_service))
+
+    def to_upstream(
+        self, headers: Headers, upstream_id: str, remaining_ms: int
+    ) -> Headers:
+        """Adds the remaining time and the upstream that is meant."""
+        added = [(names.DEADLINE_MS, str(remaining_ms))]
+        if upstream_id:
+            added.append((names.EXPECT_INSTANCE, upstream_id))
+        return (*headers, *added)
+
+    def answer_facts(self, status: int, headers: RawHeaders) -> AnswerFacts:
+        """Reads the headers of an upstream's answer."""
+        found = _lower(headers)
+        is_success = status in _SUCCESS
+        has_seal = names.SEAL.lower() in found
+        return AnswerFacts(
+            attempt_id=found.get(names.ATTEMPT_ID.lower(), ""),
+            is_not_run=status == _MISDIRECTED
+            or names.NOT_EXECUTED.lower() in found,
+            # Callers ask for bodies without an encoding.
+            is_genuine="content-encoding" not in found
+            and (has_seal or not is_success),
+        )
+
+    def returned(self, headers: RawHeaders) -> Headers:
+        """Returns the headers that go back to the caller."""
+        pairs = list(headers)
+        connection = [v for n, v in pairs if n.lower() == "connection"]
+        return without_hop_by_hop(pairs, connection)
+
+    def health_facts(self, headers: RawHeaders) -> HealthFacts:
+        """Reads the headers of a health answer."""
+        found = _lower(headers)
+        return HealthFacts(
+            found.get(names.INSTANCE_ID.lower(), ""),
+            _seconds(found.get(names.COLD_MS.lower(), "0")),
+        )
+
+
+def _lower(headers: RawHeaders) -> dict[str, str]:
+    return {name.lower(): value for name, value in headers}
+
+
+def _seconds(milliseconds: str) -> float:
+    """Converts a header value; one that is no number counts as 0."""
+    try:
+        return max(0.0, float(milliseconds) / 1000)
+    except ValueError:
+        return 0.0
--- /dev/null
+++ b/magnoliafork/platform/names.py
@@ -0,0 +1,18 @@
+"""Names that the platform uses in keys, headers and calls."""
+
+CONFIG_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
+SERVER_PREFIX = "servers/"
+
+RANGE_PATH = "/kv-range"
+WATCH_PATH = "/kv-watch"
+READY_PATH = "/ready"
+
+ATTEMPT_ID = "Magnoliafork-Attempt-Id"
+DEADLINE_MS = "Magnoliafork-Deadline-Ms"
+SEAL = "Magnoliafork-Server-Seal"
+EXPECT_INSTANCE = "Magnoliafork-Expect-Instance"
+NOT_EXECUTED = "Magnoliafork-Not-Executed"
+CALLER_SERVICE = "Magnoliafork-Caller-Service"
+INSTANCE_ID = "Magnoliafork-Instance-Id"
+COLD_MS = "Magnoliafork-Cold-Ms"
--- /dev/null
+++ b/magnoliafork/platform/store.py
@@ -0,0 +1,120 @@
+"""Client of the platform's store."""
+
+import asyncio
+import base64
+import binascii
+import json
+from typing import Any
+
+import aiohttp
+
+from magnoliafork.mesh.model import StoredItem
+from magnoliafork.mesh.source import HistoryGone, StoreUnavailable
+from magnoliafork.mesh.view import ViewDelta
+from magnoliafork.platform import names
+
+# The store answers in a few milliseconds; slower is as good as away.
+READ_TIMEOUT_S = 1.5
+# Time beyond the asked wait after which a watch counts as silent.
+WATCH_GRACE_S = 0.8
+
+_OK = 200
+_GONE = 410
+_Malformed = (ValueError, TypeError, KeyError, AttributeError, binascii.Error)
+
+
+class PlatformStore:
+    """Implements `PublishedStore` over the platform's HTTP calls."""
+
+    def __init__(self, address: str) -> None:
+        """Creates a client of the store at an address, `IP:PORT`."""
+        self._url = f"http://{address}"
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=None),
+            auto_decompress=False,
+        )
+        self.call_count = 0
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        await self._session.close()
+
+    async def read_all(self) -> ViewDelta | StoreUnavailable:
+        """Reads the whole state; its revision is one that it contains."""
+        items: list[StoredItem] = []
+        revision = 0
+        after = ""
+        while True:
+            query = {"prefix": ""}
+            if after:
+                query["after"] = after
+            page = await self._get(names.RANGE_PATH, query, READ_TIMEOUT_S)
+            if isinstance(page, (HistoryGone, StoreUnavailable)):
+                return StoreUnavailable(_detail(page))
+            try:
+                page_items = [_item(item) for item in page["items"]]
+                # Later pages are newer; what changed since the first page is
+                # read again by the watch that follows.
+                revision = revision or int(page["as_of"])
+                has_more = bool(page["has_more"])
+            except _Malformed as error:
+                return StoreUnavailable(f"malformed page: {error}")
+            items += page_items
+            if not has_more or not page_items:
+                return ViewDelta(0, revision, tuple(items))
+            after = page_items[-1].key
+
+    async def watch(
+        self, after_revision: int, wait_s: float
+    ) -> ViewDelta | HistoryGone | StoreUnavailable:
+        """Waits for changes after a revision."""
+        query = {
+            "prefix": "",
+            "after": str(after_revision),
+            "wait_ms": str(int(wait_s * 1000)),
+        }
+        answer = await self._get(
+            names.WATCH_PATH, query, wait_s + WATCH_GRACE_S
+        )
+        if isinstance(answer, (HistoryGone, StoreUnavailable)):
+            return answer
+        try:
+            items = tuple([_item(event) for event in answer["events"]])
+            revision = int(answer["as_of"])
+        except _Malformed as error:
+            return StoreUnavailable(f"malformed events: {error}")
+        return ViewDelta(after_revision, revision, items)
+
+    async def _get(
+        self, path: str, query: dict[str, str], timeout_s: float
+    ) -> dict[str, Any] | HistoryGone | StoreUnavailable:
+        self.call_count += 1
+        try:
+            async with (
+                asyncio.timeout(timeout_s),
+                self._session.get(self._url + path, params=query) as answer,
+            ):
+                if answer.status == _GONE:
+                    return HistoryGone()
+                if answer.status != _OK:
+                    return StoreUnavailable(f"status {answer.status}")
+                body: dict[str, Any] = json.loads(await answer.read())
+                return body
+        except TimeoutError:
+            return StoreUnavailable(f"no answer for {timeout_s} s")
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            return StoreUnavailable(f"{type(error).__name__}: {error}")
+
+
+def _item(item: dict[str, Any]) -> StoredItem:
+    if item.get("removed"):
+        return StoredItem(item["key"], int(item["revision"]), b"")
+    value = base64.b64decode(item["value"], validate=True)
+    # An empty value would read as a removal; such an item names nothing.
+    return StoredItem(item["key"], int(item["revision"]), value or b" ")
+
+
+def _detail(problem: HistoryGone | StoreUnavailable) -> str:
+    if isinstance(problem, StoreUnavailable):
+        return problem.detail
+    return "history gone"
--- a/magnoliafork/proxy/attempt.py
+++ b/magnoliafork/proxy/attempt.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 from collections.abc import Callable
+from typing import Protocol
 
 from magnoliafork.balance.ejection import OutlierEjection
 from magnoliafork.balance.load import LoadTable
@@ -80,21 +81,108 @@
     link_failures: int = 0
 
 
-class Attempts:
-    """Runs single attempts and learns from their results."""
+class AttemptObserver(Protocol):
+    """Learns from attempts what a later choice of instance needs."""
+
+    def begin(self, instance_id: str) -> None:
+        """Notes that an attempt starts."""
+        ...
+
+    def end(self, instance_id: str) -> None:
+        """Notes that an attempt has ended, in whatever way."""
+        ...
+
+    def observe(
+        self,
+        request: messages.CallRequest,
+        instance_id: str,
+        instance_count: int,
+        reply: messages.CallReply | LinkFailure,
+        waited_s: float,
+    ) -> None:
+        """Notes the reply to an attempt, or that there was none."""
+        ...
+
+    def lost_to_hedge(
+        self, service: str, instance_id: str, instance_count: int
+    ) -> None:
+        """Notes that a later copy of the request was answered first."""
+        ...
+
+
+class LoadAndEjection:
+    """Feeds the load hints and the outlier ejection of the chooser."""
 
     def __init__(
         self,
-        peers: PeerCalls,
         load: LoadTable,
         ejection: OutlierEjection,
         clock: Callable[[], float],
     ) -> None:
-        """Creates a runner over tables that the chooser reads."""
-        self._peers = peers
+        """Creates an observer over tables that the chooser reads."""
         self._load = load
         self._ejection = ejection
         self._clock = clock
+
+    def begin(self, instance_id: str) -> None:
+        """Counts a call in flight."""
+        self._load.begin(instance_id)
+
+    def end(self, instance_id: str) -> None:
+        """Counts the end of a call."""
+        self._load.end(instance_id)
+
+    def observe(
+        self,
+        request: messages.CallRequest,
+        instance_id: str,
+        instance_count: int,
+        reply: messages.CallReply | LinkFailure,
+        waited_s: float,
+    ) -> None:
+        """Takes over the load from a reply and counts failures."""
+        now_s = self._clock()
+        if isinstance(reply, messages.CallAnswer):
+            self._load.hint(instance_id, reply.active, reply.limit, now_s)
+        elif isinstance(reply, messages.CallRefused):
+            self._load.hint(instance_id, reply.active, reply.limit, now_s)
+            if reply.reason != MOVED:
+                self._load.refused(instance_id, reply.retry_after_ms, now_s)
+        service = request.service_name
+        verdict = is_failure(reply, waited_s)
+        if verdict is None:
+            return
+        if verdict:
+            self._ejection.failed(service, instance_id, instance_count, now_s)
+        else:
+            self._ejection.succeeded(instance_id, now_s)
+
+    def lost_to_hedge(
+        self, service: str, instance_id: str, instance_count: int
+    ) -> None:
+        """Counts an attempt that a later copy overtook as a failure.
+
+        Its own call is cancelled and reports nothing, so that an instance
+        behind a silent link would never be ejected from hedged routes.
+        """
+        self._ejection.failed(
+            service, instance_id, instance_count, self._clock()
+        )
+
+
+class Attempts:
+    """Runs single attempts and reports their results to an observer."""
+
+    def __init__(
+        self,
+        peers: PeerCalls,
+        observer: AttemptObserver,
+        clock: Callable[[], float],
+    ) -> None:
+        """Creates a runner of attempts."""
+        self._peers = peers
+        self._observer = observer
+        self._clock = clock
         self.counters = AttemptCounters()
 
     async def run(
@@ -120,32 +208,33 @@
             state.first_sent_s = started_s
         request = with_remaining_ms(state.template, remaining_ms)
         self.counters.attempts += 1
-        self._load.begin(instance_id)
+        self._observer.begin(instance_id)
         try:
             reply = await self._peers.call(
                 instance_id, request, remaining_s + VERDICT_GRACE_S
             )
-            self._learn(state, instance_id, instance_count, reply, started_s)
+            if isinstance(reply, LinkFailure):
+                self.counters.link_failures += 1
+            self._observer.observe(
+                state.template,
+                instance_id,
+                instance_count,
+                reply,
+                self._clock() - started_s,
+            )
             if not isinstance(reply, LinkFailure):
                 state.has_reached = True
                 return judge(reply)
             return await self._resolve(state, instance_id, reply)
         finally:
-            self._load.end(instance_id)
+            self._observer.end(instance_id)
 
     def lost_to_hedge(
         self, state: CallState, instance_id: str, instance_count: int
     ) -> None:
-        """Counts an attempt that a later copy overtook as a failure.
-
-        Its own call is cancelled and reports nothing, so that an instance
-        behind a silent link would never be ejected from hedged routes.
-        """
-        self._ejection.failed(
-            state.template.service_name,
-            instance_id,
-            instance_count,
-            self._clock(),
+        """Reports an attempt that a later copy of its request overtook."""
+        self._observer.lost_to_hedge(
+            state.template.service_name, instance_id, instance_count
         )
 
     async def _resolve(
@@ -205,33 +294,6 @@
             return 0.0
         return now_s - state.first_sent_s
 
-    def _learn(
-        self,
-        state: CallState,
-        instance_id: str,
-        instance_count: int,
-        reply: messages.CallReply | LinkFailure,
-        started_s: float,
-    ) -> None:
-        now_s = self._clock()
-        if isinstance(reply, messages.CallAnswer):
-            self._load.hint(instance_id, reply.active, reply.limit, now_s)
-        elif isinstance(reply, messages.CallRefused):
-            self._load.hint(instance_id, reply.active, reply.limit, now_s)
-            if reply.reason != MOVED:
-                self._load.refused(instance_id, reply.retry_after_ms, now_s)
-        elif isinstance(reply, LinkFailure):
-            self.counters.link_failures += 1
-        verdict = _is_failure(reply, now_s - started_s)
-        if verdict is None:
-            return
-        if verdict:
-            self._ejection.failed(
-                state.template.service_name, instance_id, instance_count, now_s
-            )
-        else:
-            self._ejection.succeeded(instance_id, now_s)
-
 
 def with_remaining_ms(
     template: messages.CallRequest, remaining_ms: int
@@ -255,6 +317,8 @@
         remaining_ms,
         template.is_keyed,
         template.is_first_attempt,
+        template.upstream_id,
+        template.target_latency_ms,
     )
 
 
@@ -287,7 +351,7 @@
         return UnknownReason.NO_REPLY
 
 
-def _is_failure(
+def is_failure(
     reply: messages.CallReply | LinkFailure, waited_s: float
 ) -> bool | None:
     """Tells whether a reply counts for ejection; None if it says nothing."""
--- a/magnoliafork/proxy/headers.py
+++ b/magnoliafork/proxy/headers.py
@@ -9,7 +9,7 @@
 TRACE_HEADER = "traceparent"
 # Bounds the cache of decisions: callers choose their header names.
 _CACHED_NAMES = 512
-_HOP_BY_HOP = frozenset(
+HOP_BY_HOP = frozenset(
     {
         "connection",
         "content-length",
@@ -47,22 +47,33 @@
     >>> end_to_end([("X-A", "1"), ("X-B", "2"), ("TE", "x")], ["close, x-b"])
     (('X-A', '1'),)
     """
-    kept = [pair for pair in headers if _is_end_to_end(pair[0])]
-    named = {
+    return without_hop_by_hop(
+        [pair for pair in headers if _is_end_to_end(pair[0])], connection
+    )
+
+
+def without_hop_by_hop(
+    headers: Iterable[tuple[str, str]], connection: Iterable[str]
+) -> Headers:
+    """Leaves out the headers that concern one connection only.
+
+    Args:
+        headers: All headers of a message.
+        connection: Values of its `Connection` headers.
+    """
+    dropped = {
         option.strip().lower()
         for value in connection
         for option in value.split(",")
-    }
-    if named:
-        kept = [pair for pair in kept if pair[0].lower() not in named]
-    return tuple(kept)
+    } | HOP_BY_HOP
+    return tuple([pair for pair in headers if pair[0].lower() not in dropped])
 
 
 @functools.lru_cache(_CACHED_NAMES)
 def _is_end_to_end(name: str) -> bool:
     lowered = name.lower()
     return (
-        lowered not in _HOP_BY_HOP
+        lowered not in HOP_BY_HOP
         and lowered != TRACE_HEADER
         and not lowered.startswith(_INTERNAL_PREFIXES)
     )
--- a/magnoliafork/proxy/sender.py
+++ b/magnoliafork/proxy/sender.py
@@ -30,6 +30,7 @@
     AttemptResult,
     Attempts,
     CallState,
+    LoadAndEjection,
     Moved,
 )
 from magnoliafork.proxy.routing import (
@@ -190,7 +191,9 @@
         self._ejection = OutlierEjection()
         self._index = CandidateIndex(membership, own_zone, own_region)
         self._chooser = Chooser(self._load, self._ejection, self._rng)
-        self._attempts = Attempts(peers, self._load, self._ejection, clock)
+        self._attempts = Attempts(
+            peers, LoadAndEjection(self._load, self._ejection, clock), clock
+        )
         self._budgets: dict[str, RetryBudget] = {}
         self._routes: RouteMatcher | None = None
         self._routes_of: Snapshot | None = None
--- /dev/null
+++ b/magnoliafork/tests/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the mesh node."""
--- /dev/null
+++ b/magnoliafork/tests/mesh/builders.py
@@ -0,0 +1,123 @@
+"""Objects that the tests of the mesh node share."""
+
+import dataclasses
+
+from magnoliafork.mesh.model import (
+    CallerLimits,
+    Fact,
+    MeshConfig,
+    MeshRoute,
+    MeshService,
+    StoredItem,
+    UpstreamEntry,
+    WeightedService,
+    ZoneOut,
+)
+from magnoliafork.mesh.view import MeshView, ViewDelta
+
+
+class FactBook:
+    """Gives items a meaning without any wire format."""
+
+    def __init__(self) -> None:
+        self._facts: dict[bytes, Fact] = {}
+
+    def item(self, key: str, revision: int, fact: Fact) -> StoredItem:
+        value = f"{key}@{revision}".encode()
+        self._facts[value] = fact
+        return StoredItem(key, revision, value)
+
+    def decode(self, item: StoredItem) -> Fact | None:
+        return self._facts.get(item.value)
+
+
+def removed(key: str, revision: int) -> StoredItem:
+    return StoredItem(key, revision, b"")
+
+
+def route(name: str = "browse", **changes: object) -> MeshRoute:
+    base = MeshRoute(
+        name=name,
+        host="shop.example",
+        prefix=f"/{name}/",
+        targets=(WeightedService("catalogue", 1.0),),
+        is_repeatable=True,
+        timeout_s=2.0,
+        target_latency_s=0.4,
+        priority=2,
+        max_attempts=2,
+    )
+    return dataclasses.replace(base, **changes)  # type: ignore[arg-type]
+
+
+def service(name: str = "catalogue", **changes: object) -> MeshService:
+    base = MeshService(name, "/health", 100, 3.0, 10.0)
+    return dataclasses.replace(base, **changes)  # type: ignore[arg-type]
+
+
+def config(
+    version: int = 1,
+    routes: tuple[MeshRoute, ...] = (),
+    services: tuple[MeshService, ...] = (),
+) -> MeshConfig:
+    return MeshConfig(
+        version,
+        routes or (route(),),
+        {s.name: s for s in (services or (service(),))},
+        CallerLimits(),
+    )
+
+
+def entry(upstream_id: str = "a", **changes: object) -> UpstreamEntry:
+    base = UpstreamEntry(
+        upstream_id=upstream_id,
+        service="catalogue",
+        zone="joliette",
+        host=f"10.0.0.{ord(upstream_id[0]) % 250}",
+        port=8000,
+        slots=4,
+        is_ready=True,
+        cold_left_s=0.0,
+        born_ms=1,
+    )
+    return dataclasses.replace(base, **changes)  # type: ignore[arg-type]
+
+
+class Published:
+    """A view and the store's side of it: each call is one revision."""
+
+    def __init__(self) -> None:
+        self.book = FactBook()
+        self.view = MeshView(self.book.decode)
+        self.revision = 0
+
+    def put(self, key: str, fact: Fact) -> ViewDelta:
+        before = self.revision
+        self.revision += 1
+        item = self.book.item(key, self.revision, fact)
+        delta = ViewDelta(before, self.revision, (item,))
+        self.view.apply(delta)
+        return delta
+
+    def remove(self, key: str) -> ViewDelta:
+        before = self.revision
+        self.revision += 1
+        items = (removed(key, self.revision),)
+        delta = ViewDelta(before, self.revision, items)
+        self.view.apply(delta)
+        return delta
+
+    def configure(self, wanted: MeshConfig) -> None:
+        self.put("config", wanted)
+
+    def announce(self, upstream: UpstreamEntry) -> None:
+        self.put(f"servers/{upstream.upstream_id}", upstream)
+
+    def withdraw(self, upstream: UpstreamEntry) -> None:
+        self.remove(f"servers/{upstream.upstream_id}")
+
+    def take_out(self, zone: str) -> None:
+        self.put(f"out/{zone}", ZoneOut(zone))
+
+    def take_back(self, zone: str) -> None:
+        self.remove(f"out/{zone}")
--- /dev/null
+++ b/magnoliafork/tests/mesh/test_cold.py
@@ -0,0 +1,77 @@
+"""A cold upstream never gets more than its service allows."""
+
+import random
+
+import pytest
+
+from magnoliafork.mesh.cold import COLD_RATE_FACTOR, WINDOW_S, ColdGate
+
+PER_S = 10.0
+
+
+def send_greedily(
+    gate: ColdGate, seconds: float, rng: random.Random
+) -> list[float]:
+    """Sends whenever the gate allows it; returns the times."""
+    now_s, sent = 100.0, []
+    while now_s < 100.0 + seconds:
+        if gate.wait_s(PER_S, now_s) <= 0:
+            gate.note_sent(now_s)
+            sent.append(now_s)
+        now_s += rng.random() * 0.02
+    return sent
+
+
+def busiest_second(sent: list[float]) -> int:
+    return max(
+        sum(1 for other in sent if start <= other < start + WINDOW_S)
+        for start in sent
+    )
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_unknown_upstream_is_treated_as_cold(seed: int) -> None:
+    """A node that has just started knows nothing of its upstream."""
+    sent = send_greedily(ColdGate(), 5.0, random.Random(seed))
+    assert busiest_second(sent) <= PER_S * COLD_RATE_FACTOR
+    assert len(sent) >= 5 * PER_S * 0.9
+
+
+def test_warm_upstream_is_not_limited() -> None:
+    gate = ColdGate()
+    gate.learn(0.0, now_s=100.0)
+    sent = send_greedily(gate, 1.0, random.Random(1))
+    assert len(sent) > 50
+
+
+def test_requests_sent_while_warm_count_after_a_fall() -> None:
+    """The upstream bears the rate from the first cold second on."""
+    gate = ColdGate()
+    gate.learn(0.0, now_s=0.0)
+    for number in range(40):
+        gate.note_sent(1.0 + number / 1000)
+    gate.doubt()
+    assert gate.wait_s(PER_S, now_s=1.1) > 0
+
+
+def test_longer_cold_time_of_the_entry_wins() -> None:
+    gate = ColdGate()
+    gate.learn(0.5, now_s=0.0)
+    gate.extend(3.0, now_s=0.2)
+    assert gate.is_cold(3.1)
+    gate.extend(0.1, now_s=0.3)
+    assert gate.is_cold(3.1)
+    assert not gate.is_cold(3.3)
+
+
+def test_extension_does_not_end_doubt() -> None:
+    """An entry older than the restart must not hide it."""
+    gate = ColdGate()
+    gate.doubt()
+    gate.extend(1.0, now_s=0.0)
+    assert not gate.is_known
+    assert gate.is_cold(99.0)
+
+
+def test_service_without_a_rate_has_no_limit() -> None:
+    assert ColdGate().wait_s(0.0, now_s=1.0) == 0.0
--- /dev/null
+++ b/magnoliafork/tests/mesh/test_readers.py
@@ -0,0 +1,56 @@
+"""One node of each zone reads the store, whatever has failed."""
+
+import itertools
+
+from magnoliafork.mesh.readers import (
+    MAX_READERS_PER_ZONE,
+    Fleet,
+    is_reader,
+    link_targets,
+    rank_hosts,
+)
+
+ZONES = {
+    zone: rank_hosts(zone, {f"{zone}{n}" for n in range(6)}) for zone in "xyz"
+}
+
+
+def fleet_of(host: str) -> Fleet:
+    return Fleet(host, host[0], ZONES)
+
+
+def readers_with(sources: set[str]) -> list[str]:
+    hosts = itertools.chain.from_iterable(ZONES.values())
+    return [h for h in hosts if is_reader(fleet_of(h), sources.__contains__)]
+
+
+def test_one_node_of_each_zone_reads() -> None:
+    firsts = {ranked[0] for ranked in ZONES.values()}
+    assert set(readers_with(firsts)) == firsts
+
+
+def test_next_node_takes_over_when_the_reader_has_no_source() -> None:
+    """A reader that was cut from the store must not leave its zone blind."""
+    sources = {ZONES["x"][0], ZONES["y"][0]}
+    assert ZONES["z"][1] in readers_with(sources)
+
+
+def test_outage_of_the_store_does_not_make_every_node_read() -> None:
+    """Every call is priced, also while the store is down."""
+    assert len(readers_with(set())) == MAX_READERS_PER_ZONE * len(ZONES)
+
+
+def test_every_node_has_news_from_two_zones() -> None:
+    """The own zone's reader may be cut without knowing it."""
+    sources = {ranked[0] for ranked in ZONES.values()}
+    for host in itertools.chain.from_iterable(ZONES.values()):
+        targets = link_targets(fleet_of(host), sources.__contains__)
+        assert host not in targets
+        assert {t[0] for t in targets} >= {host[0]}
+        assert any(t[0] != host[0] for t in targets)
+
+
+def test_links_of_a_node_do_not_grow_with_its_zone() -> None:
+    zone = rank_hosts("x", {f"x{n}" for n in range(200)})
+    fleet = Fleet(zone[50], "x", {**ZONES, "x": zone})
+    assert len(link_targets(fleet, lambda _: True)) <= 3
--- /dev/null
+++ b/magnoliafork/tests/mesh/test_receiver.py
@@ -0,0 +1,377 @@
+"""What the upstream gets, in virtual time with a fake upstream."""
+
+import asyncio
+import io
+import random
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from magnoliafork.mesh.cold import COLD_RATE_FACTOR
+from magnoliafork.mesh.dialect import HealthFacts
+from magnoliafork.mesh.receiver import MeshReceiver
+from magnoliafork.mesh.upstream import (
+    UpstreamAnswered,
+    UpstreamCall,
+    UpstreamNotRun,
+    UpstreamResult,
+    UpstreamUnknown,
+)
+from magnoliafork.mesh.upstream_table import UpstreamTable
+from magnoliafork.observe.logs import EventLog
+from magnoliafork.platform.http import PlatformHttp
+from magnoliafork.tests import virtual_time
+from magnoliafork.tests.mesh.builders import (
+    Published,
+    config,
+    entry,
+    service,
+)
+from magnoliafork.wire import messages
+
+OWN = entry("a", host="10.0.0.1", slots=4)
+COLD_PER_S = 10.0
+
+
+class FakeUpstream:
+    """Runs each request for a fixed time; counts what reaches it."""
+
+    def __init__(self, work_s: float = 0.1) -> None:
+        self.work_s = work_s
+        self.cold_left_s = 0.0
+        self.is_up = True
+        self.result: UpstreamResult | None = None
+        self.arrivals: list[float] = []
+        self.stopped = 0
+        self.most_active = 0
+        self._active = 0
+
+    async def send(self, call: UpstreamCall) -> UpstreamResult:
+        if not self.is_up:
+            return UpstreamNotRun("cannot connect", was_sent=False)
+        self.arrivals.append(asyncio.get_running_loop().time())
+        self._active += 1
+        self.most_active = max(self.most_active, self._active)
+        try:
+            await asyncio.sleep(self.work_s)
+        except asyncio.CancelledError:
+            self.stopped += 1
+            raise
+        finally:
+            self._active -= 1
+        return self.result or UpstreamAnswered(200, (), call.body)
+
+    async def health(self, path: str) -> HealthFacts | None:
+        del path
+        if not self.is_up:
+            return None
+        return HealthFacts("a", self.cold_left_s)
+
+
+class Bench:
+    """A receiver with its fakes."""
+
+    def __init__(self, upstream: FakeUpstream | None = None) -> None:
+        loop = asyncio.get_running_loop()
+        self.published = Published()
+        self.table = UpstreamTable(self.published.view, loop.time)
+        self.upstream = upstream or FakeUpstream()
+        self.receiver = MeshReceiver(
+            (OWN.host, OWN.port),
+            self.published.view,
+            self.table,
+            self.upstream,
+            PlatformHttp(),
+            loop.time,
+            EventLog("error", io.StringIO()),
+        )
+        cold = service(cold_requests_per_s=COLD_PER_S)
+        self.published.configure(config(services=(cold,)))
+
+    async def announced(self) -> "Bench":
+        """Waits until the upstream is known not to be cold."""
+        self.published.announce(OWN)
+        await asyncio.sleep(1.0)
+        return self
+
+    def call(
+        self, request_id: str = "r", **changes: object
+    ) -> "asyncio.Task[messages.CallReply]":
+        return asyncio.create_task(
+            self.receiver.on_call("peer", request(request_id, **changes))
+        )
+
+
+def request(request_id: str = "r", **changes: object) -> messages.CallRequest:
+    values: dict[str, object] = {
+        "stream_id": 1,
+        "request_id": request_id,
+        "service_name": "catalogue",
+        "method": "GET",
+        "path": "/",
+        "header_names": (),
+        "header_values": (),
+        "body": b"",
+        "repeatable": True,
+        "priority": 2,
+        "traceparent": "",
+        "remaining_ms": 2000,
+        "is_keyed": False,
+        "is_first_attempt": False,
+        "target_latency_ms": 400,
+    }
+    return messages.CallRequest(**{**values, **changes})  # type: ignore[arg-type]
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    async def main() -> None:
+        await test()
+
+    virtual_time.run(main())
+
+
+def test_upstream_never_runs_more_than_its_slots() -> None:
+    async def test() -> None:
+        bench = await Bench().announced()
+        replies = await asyncio.gather(
+            *[bench.call(f"r{n}") for n in range(40)]
+        )
+        assert bench.upstream.most_active == OWN.slots
+        served = [r for r in replies if isinstance(r, messages.CallAnswer)]
+        refused = [r for r in replies if isinstance(r, messages.CallRefused)]
+        assert len(served) + len(refused) == 40
+        assert len(served) >= OWN.slots * 2
+        assert all(r.retry_after_ms > 0 for r in refused)
+
+    run(test)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_upstream_of_which_nothing_is_known_gets_the_cold_rate(
+    seed: int,
+) -> None:
+    """A node that was just restarted must not flood a cold upstream."""
+
+    async def test() -> None:
+        rng = random.Random(seed)
+        upstream = FakeUpstream(work_s=0.02)
+        upstream.cold_left_s = 10.0
+        bench = Bench(upstream)
+        bench.published.announce(OWN)
+        tasks = []
+        for number in range(300):
+            tasks.append(bench.call(f"r{number}"))
+            await asyncio.sleep(rng.random() * 0.02)
+        await asyncio.gather(*tasks)
+        arrivals = upstream.arrivals
+        busiest = max(
+            sum(start <= other < start + 1.0 for other in arrivals)
+            for start in arrivals
+        )
+        assert busiest <= COLD_PER_S * COLD_RATE_FACTOR
+
+    run(test)
+
+
+def test_upstream_that_went_down_is_cold_when_it_is_back() -> None:
+    async def test() -> None:
+        bench = await Bench(FakeUpstream(work_s=0.01)).announced()
+        bench.upstream.is_up = False
+        reply = await bench.call()
+        assert isinstance(reply, messages.CallRefused)
+        bench.upstream.is_up = True
+        bench.upstream.cold_left_s = 3.0
+        await asyncio.sleep(1.0)
+        before = len(bench.upstream.arrivals)
+        await asyncio.gather(*[bench.call(f"r{n}") for n in range(60)])
+        assert len(bench.upstream.arrivals) - before <= 2 * COLD_PER_S
+
+    run(test)
+
+
+def test_zone_that_comes_back_is_cold_until_checked() -> None:
+    async def test() -> None:
+        bench = await Bench(FakeUpstream(work_s=0.001)).announced()
+        bench.published.take_out(OWN.zone)
+        reply = await bench.call()
+        assert isinstance(reply, messages.CallRefused)
+        assert reply.reason == "zone_out"
+        bench.upstream.cold_left_s = 5.0
+        bench.published.take_back(OWN.zone)
+        await asyncio.gather(*[bench.call(f"r{n}") for n in range(60)])
+        first = [
+            t
+            for t in bench.upstream.arrivals
+            if t < bench.upstream.arrivals[0] + 1.0
+        ]
+        assert len(first) <= COLD_PER_S * COLD_RATE_FACTOR
+
+    run(test)
+
+
+def test_draining_upstream_gets_nothing_from_senders_that_are_behind() -> None:
+    async def test() -> None:
+        bench = await Bench().announced()
+        bench.published.announce(entry("a", host=OWN.host, is_ready=False))
+        reply = await bench.call()
+        assert isinstance(reply, messages.CallRefused)
+        assert reply.reason == "drained"
+        assert bench.upstream.arrivals == []
+
+    run(test)
+
+
+def test_requests_that_wait_are_refused_when_the_upstream_drains() -> None:
+    async def test() -> None:
+        bench = await Bench().announced()
+        tasks = [bench.call(f"r{n}") for n in range(8)]
+        await asyncio.sleep(0.01)
+        bench.published.announce(entry("a", host=OWN.host, is_ready=False))
+        replies = await asyncio.gather(*tasks)
+        assert len(bench.upstream.arrivals) == OWN.slots
+        refused = [r for r in replies if isinstance(r, messages.CallRefused)]
+        assert {r.reason for r in refused} == {"drained"}
+
+    run(test)
+
+
+def test_other_service_at_the_address_is_refused() -> None:
+    """Addresses of upstreams that are gone are used again."""
+
+    async def test() -> None:
+        bench = await Bench().announced()
+        reply = await bench.call(service_name="orders")
+        assert isinstance(reply, messages.CallRefused)
+        assert bench.upstream.arrivals == []
+
+    run(test)
+
+
+def test_cancelled_idempotent_request_stops_at_the_upstream() -> None:
+    async def test() -> None:
+        bench = await Bench(FakeUpstream(work_s=1.0)).announced()
+        task = bench.call()
+        await asyncio.sleep(0.1)
+        task.cancel()
+        await asyncio.sleep(0.1)
+        assert bench.upstream.stopped == 1
+        assert bench.receiver.is_idle
+
+    run(test)
+
+
+def test_cancelled_request_that_waits_is_never_run() -> None:
+    async def test() -> None:
+        bench = await Bench(FakeUpstream(work_s=0.2)).announced()
+        tasks = [bench.call(f"r{n}", repeatable=False) for n in range(6)]
+        await asyncio.sleep(0.01)
+        tasks[5].cancel()
+        await asyncio.gather(*tasks[:5])
+        await asyncio.sleep(1.0)
+        assert len(bench.upstream.arrivals) == 5
+
+    run(test)
+
+
+def test_request_id_runs_once_however_often_it_arrives() -> None:
+    async def test() -> None:
+        bench = await Bench().announced()
+        first = bench.call("same", repeatable=False)
+        await asyncio.sleep(0.01)
+        first.cancel()
+        second = bench.call("same", repeatable=False)
+        reply = await second
+        third = await bench.call("same", repeatable=False)
+        assert isinstance(reply, messages.CallAnswer)
+        assert isinstance(third, messages.CallAnswer)
+        assert len(bench.upstream.arrivals) == 1
+
+    run(test)
+
+
+def test_fenced_request_that_arrives_later_is_refused() -> None:
+    """A sender that was told "not run" may have sent it elsewhere."""
+
+    async def test() -> None:
+        bench = await Bench().announced()
+        fence = messages.CallFence(1, "late", 0, 500, "")
+        told = await bench.receiver.on_fence("peer", fence)
+        assert isinstance(told, messages.CallFenceReply)
+        assert told.state == messages.FenceState.NEVER_RAN
+        reply = await bench.call("late", repeatable=False)
+        assert isinstance(reply, messages.CallRefused)
+        assert bench.upstream.arrivals == []
+
+    run(test)
+
+
+def test_fence_waits_for_a_running_request() -> None:
+    async def test() -> None:
+        bench = await Bench().announced()
+        bench.call("run", repeatable=False)
+        await asyncio.sleep(0.01)
+        fence = messages.CallFence(1, "run", 0, 500, "")
+        told = await bench.receiver.on_fence("peer", fence)
+        assert isinstance(told, messages.CallAnswer)
+
+    run(test)
+
+
+def test_broken_answer_is_unknown_and_never_not_run() -> None:
+    async def test() -> None:
+        bench = await Bench().announced()
+        bench.upstream.result = UpstreamUnknown("reset", True)
+        reply = await bench.call(repeatable=False)
+        assert isinstance(reply, messages.CallUnknown)
+
+    run(test)
+
+
+def test_upstream_gets_no_request_after_its_deadline() -> None:
+    async def test() -> None:
+        bench = await Bench(FakeUpstream(work_s=0.5)).announced()
+        tasks = [
+            bench.call(f"r{n}", remaining_ms=300, target_latency_ms=5000)
+            for n in range(12)
+        ]
+        started_s = asyncio.get_running_loop().time()
+        await asyncio.gather(*tasks)
+        late = [t for t in bench.upstream.arrivals if t > started_s + 0.3]
+        assert late == []
+
+    run(test)
+
+
+def test_planned_stop_refuses_new_work_and_finishes_the_rest() -> None:
+    async def test() -> None:
+        bench = await Bench(FakeUpstream(work_s=1.0)).announced()
+        running = bench.call("r1")
+        await asyncio.sleep(0.01)
+        bench.receiver.is_stopping = True
+        refused = await bench.call("r2")
+        assert isinstance(refused, messages.CallRefused)
+        assert refused.reason == "leaving"
+        assert isinstance(await running, messages.CallAnswer)
+
+    run(test)
+
+
+def test_node_without_a_configuration_refuses() -> None:
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        published = Published()
+        upstream = FakeUpstream()
+        receiver = MeshReceiver(
+            (OWN.host, OWN.port),
+            published.view,
+            UpstreamTable(published.view, loop.time),
+            upstream,
+            PlatformHttp(),
+            loop.time,
+            EventLog("error", io.StringIO()),
+        )
+        reply = await receiver.on_call("peer", request())
+        assert isinstance(reply, messages.CallRefused)
+        assert reply.reason == "not_ready"
+
+    run(test)
--- /dev/null
+++ b/magnoliafork/tests/mesh/test_routes.py
@@ -0,0 +1,60 @@
+"""Routes are chosen by the longest prefix, parts of a split by weight."""
+
+import collections
+import random
+
+import pytest
+
+from magnoliafork.mesh.model import WeightedService
+from magnoliafork.mesh.routes import RouteIndex, WeightedSplit
+from magnoliafork.tests.mesh.builders import config, route
+
+INDEX = RouteIndex(
+    config(
+        routes=(
+            route("all", prefix="/"),
+            route("a", prefix="/a/"),
+            route("ab", prefix="/a/b/"),
+        )
+    )
+)
+
+
+@pytest.mark.parametrize(
+    ("path", "name"),
+    [
+        ("/a/b/c", "ab"),
+        ("/a/b", "a"),
+        ("/a/", "a"),
+        ("/a", "all"),
+        ("/ab/c", "all"),
+    ],
+)
+def test_longest_prefix_wins(path: str, name: str) -> None:
+    found = INDEX.match("Shop.example:80", path)
+    assert found is not None
+    assert found.name == name
+
+
+def test_unknown_host_has_no_route() -> None:
+    assert INDEX.match("other.example", "/a/") is None
+
+
+def test_split_keeps_the_weights_over_any_span() -> None:
+    """Random choices would miss the weights in a short span."""
+    split = WeightedSplit(random.Random(3))
+    divided = route(
+        targets=(WeightedService("x", 70), WeightedService("y", 30))
+    )
+    picks = [split.pick(divided) for _ in range(500)]
+    for start in range(0, 400, 7):
+        counted = collections.Counter(picks[start : start + 100])
+        assert abs(counted["x"] - 70) <= 2
+
+
+def test_changed_weights_are_followed_at_once() -> None:
+    split = WeightedSplit(random.Random(3))
+    old = route(targets=(WeightedService("x", 1), WeightedService("y", 1)))
+    new = route(targets=(WeightedService("y", 1), WeightedService("z", 1)))
+    split.pick(old)
+    assert {split.pick(new) for _ in range(10)} == {"y", "z"}
--- /dev/null
+++ b/magnoliafork/tests/mesh/test_upstream_table.py
@@ -0,0 +1,100 @@
+"""Entries that lapse while the store is away keep their upstreams in use."""
+
+import dataclasses
+
+from magnoliafork.mesh.upstream_table import REWRITE_S, UpstreamTable
+from magnoliafork.tests.mesh.builders import Published, entry
+
+
+class Clock:
+    """Time that a test sets."""
+
+    def __init__(self) -> None:
+        self.now_s = 1000.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+def make() -> tuple[Published, UpstreamTable, Clock]:
+    published, clock = Published(), Clock()
+    table = UpstreamTable(published.view, clock)
+    return published, table, clock
+
+
+def ids(table: UpstreamTable) -> list[str]:
+    return [e.upstream_id for e in table.of_service("catalogue")]
+
+
+def test_removal_in_calm_times_takes_effect_at_once() -> None:
+    published, table, _ = make()
+    published.announce(entry("a"))
+    published.withdraw(entry("a"))
+    assert ids(table) == []
+
+
+def test_entries_that_lapsed_in_an_outage_stay_in_use() -> None:
+    """Without this a service had no upstream for two seconds."""
+    published, table, clock = make()
+    published.announce(entry("a"))
+    table.note_outage()
+    clock.now_s += 5
+    table.note_outage_ended(0.0)
+    published.withdraw(entry("a"))
+    assert ids(table) == ["a"]
+    clock.now_s += REWRITE_S + 0.1
+    table.tick(clock.now_s)
+    assert ids(table) == []
+
+
+def test_lapsed_entry_that_is_written_again_is_not_listed_twice() -> None:
+    published, table, clock = make()
+    published.announce(entry("a"))
+    table.note_outage_ended(0.0)
+    published.withdraw(entry("a"))
+    published.announce(entry("a"))
+    assert ids(table) == ["a"]
+    clock.now_s += REWRITE_S + 0.1
+    table.tick(clock.now_s)
+    assert ids(table) == ["a"]
+
+
+def test_address_of_a_lapsed_entry_that_is_used_again_is_given_up() -> None:
+    """The new upstream may be of another service."""
+    published, table, _ = make()
+    old = entry("a", host="10.0.0.9")
+    published.announce(old)
+    table.note_outage_ended(0.0)
+    published.withdraw(old)
+    published.announce(entry("b", host="10.0.0.9", service="orders"))
+    assert ids(table) == []
+
+
+def test_drained_upstream_that_goes_in_an_outage_is_gone() -> None:
+    published, table, _ = make()
+    draining = entry("a", is_ready=False)
+    published.announce(draining)
+    table.note_outage_ended(0.0)
+    published.withdraw(draining)
+    assert table.at(draining.host, draining.port) is None
+
+
+def test_removal_well_after_an_outage_takes_effect_at_once() -> None:
+    """An upstream that leaves later must not get work for longer."""
+    published, table, clock = make()
+    published.announce(entry("a"))
+    table.note_outage_ended(0.0)
+    clock.now_s += 1.0
+    published.withdraw(entry("a"))
+    assert ids(table) == []
+
+
+def test_zone_out_and_draining_get_no_work() -> None:
+    published, table, _ = make()
+    published.announce(entry("a"))
+    published.announce(dataclasses.replace(entry("b"), zone="rawdon"))
+    published.announce(entry("c", is_ready=False))
+    published.take_out("rawdon")
+    assert ids(table) == ["a"]
+    published.take_back("rawdon")
+    assert ids(table) == ["a", "b"]
--- /dev/null
+++ b/magnoliafork/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the platform, with stand-ins for it."""
--- /dev/null
+++ b/magnoliafork/tests/platform/test_items.py
@@ -0,0 +1,161 @@
+"""Items of the store, also those of other writers."""
+
+import json
+from typing import Any
+
+import pytest
+
+from magnoliafork.mesh.model import (
+    Fact,
+    MeshConfig,
+    StoredItem,
+    Unreadable,
+    UpstreamEntry,
+    ZoneOut,
+)
+from magnoliafork.platform.items import decode_item
+
+ROUTES: dict[str, Any] = {
+    "columns": [
+        "name",
+        "host",
+        "prefix",
+        "kind",
+        "timeout_ms",
+        "target_latency_ms",
+        "priority",
+        "split",
+        "max_attempts",
+        "service",
+    ],
+    "rows": [
+        [
+            "r1",
+            "Shop.example",
+            "/a/",
+            "safe",
+            1200,
+            400,
+            2,
+            [{"service": "x", "weight": 90}, {"service": "y", "weight": 10}],
+            2,
+            None,
+        ],
+        ["r2", "shop.example", "/b/", "unsafe", 1500, 500, 1, None, 2, "z"],
+    ],
+}
+CONFIG = {
+    "version": "r7",
+    "routes": ROUTES,
+    "services": {
+        "columns": [
+            "name",
+            "health_path",
+            "max_connections",
+            "protocol",
+            "tls",
+            "cold_start_s",
+            "cold_per_s",
+        ],
+        "rows": [["x", "/health", 120, "h1", False, 3.0, 14.0]],
+    },
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 67108864,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    },
+}
+SERVER: dict[str, Any] = {
+    "address": "10.128.0.9:8080",
+    "info": {"service": "x", "version": "v1", "zone": "joliette", "slots": 12},
+    "status": {"state": "ready", "sequence": 4, "cold_left_ms": 1500},
+    "born": 1_700_000_000_000,
+}
+
+
+def decode(key: str, value: Any) -> Fact | None:
+    raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return decode_item(StoredItem(key, 1, raw))
+
+
+def test_configuration() -> None:
+    config = decode("op/config", CONFIG)
+    assert isinstance(config, MeshConfig)
+    assert config.version == 7
+    first, second = config.routes
+    assert (first.host, first.timeout_s, first.is_repeatable) == (
+        "shop.example",
+        1.2,
+        True,
+    )
+    assert [(t.service, t.weight) for t in first.targets] == [
+        ("x", 90),
+        ("y", 10),
+    ]
+    assert not second.is_repeatable
+    assert second.targets[0].service == "z"
+    assert config.services["x"].cold_requests_per_s == 14.0
+    assert config.limits.idle_timeout_s == 15.0
+
+
+def test_unknown_kind_of_route_is_not_repeated() -> None:
+    """Repeating a request whose kind is unknown could run it twice."""
+    rows = [[*ROUTES["rows"][0]]]
+    rows[0][3] = "keyed"
+    config = decode("op/config", {**CONFIG, "routes": {**ROUTES, "rows": rows}})
+    assert isinstance(config, MeshConfig)
+    assert not config.routes[0].is_repeatable
+
+
+def test_server() -> None:
+    server = decode("servers/i-1", SERVER)
+    assert isinstance(server, UpstreamEntry)
+    assert (server.upstream_id, server.host, server.port) == (
+        "i-1",
+        "10.128.0.9",
+        8080,
+    )
+    assert server.is_ready
+    assert server.cold_left_s == 1.5
+
+
+def test_draining_server() -> None:
+    status = {**SERVER["status"], "state": "draining"}
+    server = decode("servers/i-1", {**SERVER, "status": status})
+    assert isinstance(server, UpstreamEntry)
+    assert not server.is_ready
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff\xfe\x00",
+        b"[]",
+        b"",
+        {**SERVER, "status": {}},
+        {**SERVER, "status": {**SERVER["status"], "state": "odd"}},
+        {**SERVER, "status": {**SERVER["status"], "sequence": "4"}},
+        {**SERVER, "info": {**SERVER["info"], "slots": "12"}},
+        {**SERVER, "address": 7},
+        {**SERVER, "address": "nowhere"},
+        {**SERVER, "born": 1.5},
+        {key: SERVER[key] for key in ("info", "status")},
+    ],
+)
+def test_entry_of_another_writer_names_no_server(value: Any) -> None:
+    assert isinstance(decode("servers/i-1", value), Unreadable)
+
+
+def test_broken_configuration_is_not_taken_in_part() -> None:
+    rows = [ROUTES["rows"][0], ["r2", None]]
+    broken = {**CONFIG, "routes": {**ROUTES, "rows": rows}}
+    assert isinstance(decode("op/config", broken), Unreadable)
+
+
+def test_zone_that_is_taken_out() -> None:
+    assert decode("op/evacuate/rawdon", {}) == ZoneOut("rawdon")
+
+
+def test_other_keys_are_of_no_concern() -> None:
+    assert decode("my/leader", {}) is None
--- a/magnoliafork/wire/codec.py
+++ b/magnoliafork/wire/codec.py
@@ -45,6 +45,9 @@
     messages.CallCancel,
     messages.CallFence,
     messages.CallFenceReply,
+    messages.ViewAnnounce,
+    messages.ViewRequest,
+    messages.ViewReply,
 )
 _KIND_NUMBERS = {kind: number for number, kind in enumerate(_KINDS)}
 _ENTRY_TYPES = (messages.PartEntry, messages.MemberEntry)
--- a/magnoliafork/wire/control.py
+++ b/magnoliafork/wire/control.py
@@ -26,6 +26,9 @@
     messages.MembershipRequest,
     messages.ProbeRequest,
     messages.ProbeReply,
+    messages.ViewAnnounce,
+    messages.ViewRequest,
+    messages.ViewReply,
 )
 
 
--- a/magnoliafork/wire/messages.py
+++ b/magnoliafork/wire/messages.py
@@ -164,6 +164,8 @@
     remaining_ms: int
     is_keyed: bool
     is_first_attempt: bool
+    upstream_id: str = ""
+    target_latency_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -177,6 +179,9 @@
     body: bytes
     active: int
     limit: int
+    queued: int = 0
+    mean_work_ms: int = 0
+    failure_permille: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -193,6 +198,9 @@
     active: int
     limit: int
     moved_to: str
+    queued: int = 0
+    mean_work_ms: int = 0
+    failure_permille: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -235,6 +243,48 @@
     state: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ViewAnnounce:
+    """Tells which revision of the published state the sender holds.
+
+    Attributes:
+        revision: Revision up to which the sender's view is complete.
+        source_age_ms: Time since the sender last heard from the store.
+        outage_ended_ms: Time since the store last came back.
+    """
+
+    revision: int
+    source_age_ms: int
+    outage_ended_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ViewRequest:
+    """Asks for everything that changed after a revision; 0 asks for all."""
+
+    after_revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ViewReply:
+    """Changed items of the published state.
+
+    Attributes:
+        base_revision: Revision that the changes build on; 0 when the items
+            are the whole state.
+        revision: Revision of the state once the changes are applied.
+        keys: Keys of the changed items.
+        revisions: Revision of each item.
+        values: Deflated value of each item; empty when it was removed.
+    """
+
+    base_revision: int
+    revision: int
+    keys: tuple[str, ...]
+    revisions: tuple[int, ...]
+    values: tuple[bytes, ...]
+
+
 CallReply = CallAnswer | CallRefused | CallUnknown
 StreamReply = CallReply | CallFenceReply
 ControlMessage = (
@@ -246,6 +296,9 @@
     | MembershipRequest
     | ProbeRequest
     | ProbeReply
+    | ViewAnnounce
+    | ViewRequest
+    | ViewReply
 )
 StreamMessage = CallRequest | CallCancel | CallFence
 Message = Hello | ControlMessage | StreamMessage | StreamReply
--- a/magnoliafork/wire/peer.thrift
+++ b/magnoliafork/wire/peer.thrift
@@ -96,6 +96,8 @@
     12: i32 remaining_ms
     13: bool is_keyed
     14: bool is_first_attempt
+    15: string upstream_id
+    16: i32 target_latency_ms
 }
 
 struct CallAnswer {
@@ -106,6 +108,9 @@
     5: binary body
     6: i32 active
     7: i32 limit
+    8: i32 queued
+    9: i32 mean_work_ms
+    10: i32 failure_permille
 }
 
 struct CallRefused {
@@ -115,6 +120,9 @@
     4: i32 active
     5: i32 limit
     6: string moved_to
+    7: i32 queued
+    8: i32 mean_work_ms
+    9: i32 failure_permille
 }
 
 struct CallUnknown {
@@ -138,3 +146,21 @@
     1: i64 stream_id
     2: string state
 }
+
+struct ViewAnnounce {
+    1: i64 revision
+    2: i32 source_age_ms
+    3: i32 outage_ended_ms
+}
+
+struct ViewRequest {
+    1: i64 after_revision
+}
+
+struct ViewReply {
+    1: i64 base_revision
+    2: i64 revision
+    3: list<string> keys
+    4: list<i64> revisions
+    5: list<binary> values
+}
--- a/magnoliafork/wire/pool.py
+++ b/magnoliafork/wire/pool.py
@@ -9,7 +9,7 @@
 from magnoliafork.wire.connector import Connector
 from magnoliafork.wire.link import Link
 
-CONNECT_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.5
 SILENCE_PROBE_S = 0.3
 SILENCE_LIMIT_S = 0.7
 # Failed connection attempts to one peer are this far apart, so that a dead
