--- a/magnoliafork/cli.py
+++ b/magnoliafork/cli.py
@@ -14,6 +14,7 @@
 import typer
 
 from magnoliafork.commands import lazy, node, node_settings
+from magnoliafork.commands import story as story_lines
 from magnoliafork.commands.admin_client import AdminTarget
 from magnoliafork.commands.exit_codes import ExitCode
 from magnoliafork.model.result import Err
@@ -229,6 +230,26 @@
     _exit(asyncio.run(run()))
 
 
+@app.command()
+def story(
+    request_id: Annotated[
+        str, typer.Argument(help="A caller's attempt id, or a logged id.")
+    ],
+    logs: Annotated[
+        list[pathlib.Path], typer.Argument(help="Log files of nodes.")
+    ],
+    as_json: Json = False,
+) -> None:
+    """Shows what all nodes logged about one request."""
+    lines: list[str] = []
+    for path in logs:
+        try:
+            lines += path.read_text("utf-8").splitlines()
+        except (OSError, UnicodeDecodeError) as error:
+            _usage_error(f"{path}: {error}")
+    _exit(story_lines.write(request_id, lines, sys.stdout, as_json))
+
+
 def _target(admin: str, settings: pathlib.Path | None) -> AdminTarget:
     token = os.environ.get(variable_of("admin_token"), "")
     if admin:
--- a/magnoliafork/mesh/metrics.py
+++ b/magnoliafork/mesh/metrics.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterator, Mapping
 from typing import TYPE_CHECKING
 
+from magnoliafork.observe.metrics import LatencySummary
+
 if TYPE_CHECKING:
     from magnoliafork.mesh.node import MeshNode
 
@@ -43,6 +45,18 @@
     yield from _by_reason("requests_not_run_total", sender.not_run_by)
     yield from _by_reason("requests_unknown_total", sender.unknown_by)
     yield from _by_reason("calls_refused_total", receiver.refused_by)
+    for service, histogram in sorted(node.metrics.services.items()):
+        yield from _summary(service, histogram.summary())
+
+
+def _summary(service: str, summary: LatencySummary) -> Iterator[str]:
+    """Returns the latencies of the answers of a service."""
+    name = f"{PREFIX}_answer_latency_seconds"
+    for quantile, value_us in summary.quantiles_us.items():
+        labels = f'service="{service}",quantile="{quantile}"'
+        yield f"{name}{{{labels}}} {value_us / 1e6}"
+    yield f'{name}_count{{service="{service}"}} {summary.count}'
+    yield f'{name}_sum{{service="{service}"}} {summary.sum_us / 1e6}'
 
 
 def _by_reason(name: str, values: Mapping[str, int]) -> Iterator[str]:
--- a/magnoliafork/mesh/node.py
+++ b/magnoliafork/mesh/node.py
@@ -21,6 +21,7 @@
 from magnoliafork.model.version import Version
 from magnoliafork.observe.events import Event
 from magnoliafork.observe.logs import EventLog
+from magnoliafork.observe.metrics import Metrics
 from magnoliafork.wire import messages
 from magnoliafork.wire.connector import Connector
 from magnoliafork.wire.control import ControlPlane
@@ -102,6 +103,7 @@
         self.view = MeshView(decode)
         self.table = UpstreamTable(self.view, clock)
         self.traffic = LinkTraffic()
+        self.metrics = Metrics()
         incarnation = int(time.time() * 1000)
         identity = NodeIdentity(
             host,
@@ -154,6 +156,7 @@
             rng,
             clock,
             log,
+            self.metrics.record_call,
         )
         self.ingress = MeshIngress(
             self.sender,
@@ -162,7 +165,9 @@
             f"{host}-{incarnation:x}",
         )
         self._ready = StatusServer(READY_PATH, self._readiness)
-        self._metrics = StatusServer(METRICS_PATH, lambda: (200, render(self)))
+        self._metrics_server = StatusServer(
+            METRICS_PATH, lambda: (200, render(self))
+        )
         self._server = PeerServer(
             identity,
             _Calls(self.receiver, self.exchange),
@@ -193,7 +198,7 @@
         await self._server.start(*split_address(addresses.peers))
         await self.ingress.start(*split_address(addresses.callers))
         await self._ready.start(*split_address(addresses.ready))
-        await self._metrics.start(*split_address(addresses.metrics))
+        await self._metrics_server.start(*split_address(addresses.metrics))
         loop = asyncio.get_running_loop()
         self._tasks = [
             loop.create_task(self.reader.run()),
@@ -218,6 +223,7 @@
         self.exchange.tick()
         self.links.close_silent(now_s)
         self.receiver.tick()
+        self.metrics.tick(now_s)
 
     async def stop(self) -> None:
         """Performs a graceful shutdown within the grace period.
@@ -253,7 +259,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.ingress.close()
         await self._ready.close()
-        await self._metrics.close()
+        await self._metrics_server.close()
         self.links.close()
         await self._server.stop()
         await self.pool.close()
--- a/magnoliafork/mesh/sender.py
+++ b/magnoliafork/mesh/sender.py
@@ -177,13 +177,27 @@
         rng: random.Random,
         clock: Callable[[], float],
         log: EventLog,
+        record_latency: Callable[[str, float], None],
     ) -> None:
-        """Creates a sender in a zone."""
+        """Creates a sender in a zone.
+
+        Args:
+            own_zone: Availability zone of this node.
+            view: Published state.
+            table: Upstreams that may get work.
+            peers: Connections to other nodes.
+            limits: Bounds of the fleet's extra attempts.
+            rng: Source of random choices; seeded in tests.
+            clock: Time in seconds; the loop's clock.
+            log: Receives the events.
+            record_latency: Takes a service and the seconds until its answer.
+        """
         self._view = view
         self._table = table
         self._limits = limits
         self._clock = clock
         self._log = log
+        self._record_latency = record_latency
         self.placement = PlacementTable(own_zone, rng, clock)
         self._attempts = Attempts(peers, self.placement, clock)
         self._split = WeightedSplit(rng)
@@ -228,7 +242,7 @@
                 outcome = await self._run(run)
         except TimeoutError:
             outcome = self._at_deadline(run)
-        self._log_outcome(run, outcome)
+        self._note_outcome(run, outcome)
         return outcome
 
     def _new_run(self, request: MeshRequest, route: MeshRoute) -> _Run:
@@ -455,8 +469,9 @@
         else:
             self.counters.unknown_by[outcome.reason.value] += 1
 
-    def _log_outcome(self, run: _Run, outcome: Outcome) -> None:
+    def _note_outcome(self, run: _Run, outcome: Outcome) -> None:
         if isinstance(outcome, Answered):
+            self._record_latency(run.service, self._clock() - run.started_s)
             return
         event = Event.REQUEST_FAILED
         if isinstance(outcome, NotRun):
--- a/magnoliafork/observe/logs.py
+++ b/magnoliafork/observe/logs.py
@@ -45,7 +45,7 @@
 class EventLog:
     """Writes events with their fields, one JSON object per line.
 
-    Each event writes at most `BURST_LINES` lines per `BURST_INTERVAL_S`. The
+    Each event writes at most `burst_lines` lines per `BURST_INTERVAL_S`. The
     first line after that tells how many were left out.
     """
 
@@ -54,6 +54,7 @@
         level: str = "info",
         stream: TextIO | None = None,
         clock: Callable[[], float] = time.monotonic,
+        burst_lines: int = BURST_LINES,
     ) -> None:
         """Creates a log.
 
@@ -61,8 +62,10 @@
             level: One of `LEVELS`.
             stream: Where lines go; standard error by default.
             clock: Clock of the repetition limit, in seconds.
+            burst_lines: Lines of one event in `BURST_INTERVAL_S`.
         """
         self._clock = clock
+        self._burst_lines = burst_lines
         self._repetitions: dict[str, _Repetition] = {}
         # Not in the logging module's registry, so that several nodes in one
         # process keep their own levels and streams.
@@ -129,7 +132,7 @@
         if now_s - repetition.interval_start_s >= BURST_INTERVAL_S:
             repetition.interval_start_s = now_s
             repetition.written = 0
-        if repetition.written >= BURST_LINES:
+        if repetition.written >= self._burst_lines:
             repetition.suppressed += 1
             return None
         repetition.written += 1
--- a/magnoliafork/platform/daemon.py
+++ b/magnoliafork/platform/daemon.py
@@ -17,6 +17,9 @@
 from magnoliafork.platform.store import PlatformStore
 
 SETTINGS_VARIABLE = "MAGNOLIAFORK_NODE_FILE"
+# Lines of one event in ten seconds; enough to follow single requests, and at
+# most a few kilobytes a second in all.
+BURST_LINES = 100
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
@@ -39,7 +42,7 @@
 
 async def run(settings: MeshSettings, path: pathlib.Path) -> int:
     """Runs a node until it is asked to stop; returns the exit code."""
-    log = EventLog(settings.logs.level, sys.stdout)
+    log = EventLog(settings.logs.level, sys.stdout, burst_lines=BURST_LINES)
     capture_library_logs(log)
     store = PlatformStore(settings.addresses.store)
     node = MeshNode(
--- a/magnoliafork/tests/mesh/test_sender.py
+++ b/magnoliafork/tests/mesh/test_sender.py
@@ -80,6 +80,7 @@
 
     def __init__(self, script: Script, **changes: Any) -> None:
         loop = asyncio.get_running_loop()
+        self.latencies: list[tuple[str, float]] = []
         self.published = Published()
         table = UpstreamTable(self.published.view, loop.time)
         self.peers = FakePeers(script)
@@ -92,6 +93,7 @@
             random.Random(3),
             loop.time,
             EventLog("error", io.StringIO()),
+            lambda service, seconds: self.latencies.append((service, seconds)),
         )
         self.published.configure(config(routes=(route(**changes),)))
         for name in "abc":
@@ -129,6 +131,15 @@
     run(test)
 
 
+def test_latency_of_answers_is_recorded() -> None:
+    async def test() -> None:
+        bench = Bench(scripted(answered()))
+        await bench.send()
+        assert [service for service, _ in bench.latencies] == ["catalogue"]
+
+    run(test)
+
+
 def test_all_full_is_not_run_with_the_shortest_wait() -> None:
     async def test() -> None:
         bench = Bench(
--- a/magnoliafork/tests/platform/test_path.py
+++ b/magnoliafork/tests/platform/test_path.py
@@ -323,6 +323,9 @@
             text = await answer.text()
         assert "magnoliafork_requests_total 1\n" in text
         assert "magnoliafork_config_version 1\n" in text
+        assert (
+            'magnoliafork_answer_latency_seconds_count{service="x"} 1\n' in text
+        )
 
     run(test)
 
