--- a/magnoliafork/mesh/node.py
+++ b/magnoliafork/mesh/node.py
@@ -282,7 +282,7 @@
                     zone=entry.zone,
                     is_present=change.after is not None,
                     is_ready=entry.is_ready,
-                    cold_left_ms=int(entry.cold_left_s * 1000),
+                    cold_for_ms=int(entry.cold_left_s * 1000),
                     revision=change.revision,
                 )
         config = self.view.config
--- a/magnoliafork/mesh/receiver.py
+++ b/magnoliafork/mesh/receiver.py
@@ -519,7 +519,7 @@
                     self._log.info(
                         Event.UPSTREAM_COLD,
                         upstream=facts.upstream_id,
-                        cold_left_ms=int(facts.cold_left_s * 1000),
+                        cold_for_ms=int(facts.cold_left_s * 1000),
                         is_known=True,
                     )
                     self._dispatch()
--- a/magnoliafork/wire/control.py
+++ b/magnoliafork/wire/control.py
@@ -12,7 +12,7 @@
 RETRY_MIN_S = 0.25
 RETRY_MAX_S = 15.0
 HELLO_WAIT_S = 0.5
-MAX_CONTROL_LINKS = 64
+MAX_CONTROL_LINKS = 512
 # Three heartbeat intervals; an open connection that carries nothing for that
 # long has gone silent and is replaced.
 SILENCE_LIMIT_S = 6.0
