--- a/magnoliafork/tests/platform/standins.py
+++ b/magnoliafork/tests/platform/standins.py
@@ -15,6 +15,8 @@
 CALLER_PORT = 18304
 READY_PORT = 18302
 METRICS_PORT = 18310
+# Longer than any time for which a node waits for the store.
+SILENCE_S = 60.0
 
 
 class StoreStandIn:
@@ -28,8 +30,11 @@
         self._is_stopped = False
         self.revision = 100
         self.status = 200
+        self.is_silent = False
         self.calls = 0
-        self._runner = web.ServerRunner(web.Server(self._handle))
+        self._runner = web.ServerRunner(
+            web.Server(self._handle), shutdown_timeout=0.1
+        )
         self.address = ""
 
     async def start(self) -> None:
@@ -82,6 +87,8 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         self.calls += 1
+        if self.is_silent:
+            await asyncio.sleep(SILENCE_S)
         if self.status != 200:
             return web.Response(status=self.status)
         if request.path == names.RANGE_PATH:
@@ -129,9 +136,12 @@
         self.server_id = server_id
         self.work_s = work_s
         self.cold_ms = 0
+        self.loses_answers = False
         self.runs: collections.Counter[str] = collections.Counter()
         self.seen: list[web.BaseRequest] = []
-        self._runner = web.ServerRunner(web.Server(self._handle))
+        self._runner = web.ServerRunner(
+            web.Server(self._handle), shutdown_timeout=0.1
+        )
 
     async def start(self) -> None:
         """Listens on the server's port."""
@@ -159,6 +169,8 @@
         self.seen.append(request)
         body = await request.read()
         await asyncio.sleep(self.work_s)
+        if self.loses_answers and request.transport is not None:
+            request.transport.abort()
         return web.Response(
             body=f"{request.method} {request.raw_path} ".encode() + body,
             headers={**echo, names.SEAL: f"seal-{self.server_id}"},
--- /dev/null
+++ b/magnoliafork/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized faults against the real program in separate processes."""
--- /dev/null
+++ b/magnoliafork/tests/soak/fleet.py
@@ -0,0 +1,173 @@
+"""Node processes with stand-ins for the store and the upstreams."""
+
+import asyncio
+import dataclasses
+import os
+import pathlib
+import signal
+import sys
+
+import aiohttp
+import yaml
+
+from magnoliafork.platform import names
+from magnoliafork.platform.daemon import SETTINGS_VARIABLE
+from magnoliafork.tests.platform.standins import (
+    CALLER_PORT,
+    METRICS_PORT,
+    PEER_PORT,
+    READY_PORT,
+    SERVER_PORT,
+    ServerStandIn,
+    StoreStandIn,
+    configuration,
+    server_entry,
+)
+
+ROUTES = [["/a/", "safe", "x"], ["/pay/", "unsafe", "y"]]
+START_LIMIT_S = 20.0
+ROOT = pathlib.Path(__file__).parents[3]
+
+
+@dataclasses.dataclass
+class Machine:
+    """One machine: a server in this process and a node process beside it."""
+
+    host: str
+    service: str
+    zone: str
+    server: ServerStandIn
+    process: asyncio.subprocess.Process | None = None
+    is_paused: bool = False
+    is_restarting: bool = False
+
+
+class SoakFleet:
+    """Starts, disturbs and ends the processes of one run."""
+
+    def __init__(self, folder: pathlib.Path, network: str) -> None:
+        """Creates a fleet on addresses `NETWORK.1` to `NETWORK.4`."""
+        self._folder = folder
+        self.store = StoreStandIn()
+        self.version = 0
+        self.machines = [
+            Machine(
+                f"{network}.{number + 1}",
+                "xy"[number % 2],
+                ("joliette", "rawdon")[number // 2],
+                ServerStandIn(f"{network}.{number + 1}", f"i-{number}", 0.02),
+            )
+            for number in range(4)
+        ]
+        self.http = aiohttp.ClientSession()
+
+    async def start(self) -> None:
+        """Starts everything and waits until every node serves."""
+        await self.store.start()
+        self.change_configuration()
+        for machine in self.machines:
+            await machine.server.start()
+            self.announce(machine, "ready")
+            await self.start_node(machine)
+        await self.until_serving()
+
+    async def close(self) -> None:
+        """Ends the processes that this fleet has started."""
+        await self.http.close()
+        for machine in self.machines:
+            process = machine.process
+            if process is not None and process.returncode is None:
+                process.kill()
+                await process.wait()
+        for machine in self.machines:
+            await machine.server.stop()
+        await self.store.stop()
+
+    def change_configuration(self) -> str:
+        """Publishes the next version; returns the path that only it has."""
+        self.version += 1
+        path = f"/v{self.version}/"
+        rows = [*ROUTES, [path, "safe", "x"]]
+        self.store.put("op/config", configuration(self.version, rows))
+        return path
+
+    def announce(self, machine: Machine, state: str) -> None:
+        """Writes what a server says of itself."""
+        entry = server_entry(machine.host, machine.service, machine.zone, state)
+        self.store.put(f"servers/{machine.server.server_id}", entry)
+
+    async def start_node(self, machine: Machine) -> None:
+        """Starts the node process of a machine."""
+        host = machine.host
+        settings = {
+            "node": {
+                "host": host,
+                "zone": machine.zone,
+                "service": machine.service,
+            },
+            "addresses": {
+                "callers": f"{host}:{CALLER_PORT}",
+                "peers": f"{host}:{PEER_PORT}",
+                "ready": f"{host}:{READY_PORT}",
+                "metrics": f"{host}:{METRICS_PORT}",
+                "upstream": f"{host}:{SERVER_PORT}",
+                "store": self.store.address,
+            },
+        }
+        path = self._folder / f"{host}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        with (self._folder / f"{host}.log").open("ab") as log:
+            machine.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "magnoliafork.platform.daemon",
+                cwd=ROOT,
+                env={**os.environ, SETTINGS_VARIABLE: str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    async def restart(self, machine: Machine, number: signal.Signals) -> None:
+        """Ends a node with a signal and starts it again."""
+        process = machine.process
+        assert process is not None
+        # A second restart would start two processes on one address.
+        machine.is_restarting = True
+        process.send_signal(number)
+        await process.wait()
+        await self.start_node(machine)
+        machine.is_restarting = False
+
+    def log_of(self, machine: Machine) -> str:
+        """Returns what the nodes of a machine have written."""
+        return (self._folder / f"{machine.host}.log").read_text("utf-8")
+
+    async def send(
+        self, machine: Machine, method: str, path: str, attempt_id: str
+    ) -> tuple[int, bytes]:
+        """Sends a caller's request; status 0 stands for no answer."""
+        try:
+            async with self.http.request(
+                method,
+                f"http://{machine.host}:{CALLER_PORT}{path}",
+                data=attempt_id if method == "POST" else None,
+                headers={
+                    "Host": "shop.example",
+                    names.ATTEMPT_ID: attempt_id,
+                    names.DEADLINE_MS: "1500",
+                },
+                timeout=aiohttp.ClientTimeout(total=3.0),
+            ) as answer:
+                return answer.status, await answer.read()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return 0, b""
+
+    async def until_serving(self) -> None:
+        """Waits until every node serves the newest configuration."""
+        async with asyncio.timeout(START_LIMIT_S):
+            for machine in self.machines:
+                path = f"/v{self.version}/"
+                while (await self.send(machine, "GET", path, "probe"))[
+                    0
+                ] != 200:
+                    await asyncio.sleep(0.05)
