Do not answer fences of an earlier process from a new ledger

Ruled out: the sender's judgement, which already turns another incarnation into an unknown outcome; the mesh receiver did not compare incarnations. Change: the receiver answers other-incarnation; a test that fails before.

--- a/magnoliafork/mesh/node.py
+++ b/magnoliafork/mesh/node.py
@@ -134,6 +134,7 @@
         self.client = UpstreamClient(*upstream_address, dialect, clock)
         self.receiver = MeshReceiver(
             upstream_address,
+            incarnation,
             self.view,
             self.table,
             self.client,
--- a/magnoliafork/mesh/receiver.py
+++ b/magnoliafork/mesh/receiver.py
@@ -95,6 +95,7 @@
     def __init__(
         self,
         address: tuple[str, int],
+        incarnation: int,
         view: MeshView,
         table: UpstreamTable,
         client: Upstream,
@@ -102,8 +103,13 @@
         clock: Callable[[], float],
         log: EventLog,
     ) -> None:
-        """Creates the receiver of the upstream at an address."""
+        """Creates the receiver of the upstream at an address.
+
+        `incarnation` names this process; fences of calls to an earlier one
+        are not answered from this ledger.
+        """
         self._address = address
+        self._incarnation = incarnation
         self._view = view
         self._table = table
         self._client = client
@@ -195,6 +201,9 @@
     ) -> messages.StreamReply:
         """Answers for one request or refuses it for ever."""
         del sender_id
+        if fence.incarnation not in (0, self._incarnation):
+            # An earlier process may have run the request.
+            return messages.CallFenceReply(0, FenceState.OTHER_INCARNATION)
         job = self._jobs.get(fence.request_id)
         if job is not None:
             outcome = await asyncio.shield(job)
--- a/magnoliafork/tests/mesh/test_receiver.py
+++ b/magnoliafork/tests/mesh/test_receiver.py
@@ -31,6 +31,7 @@
 
 OWN = entry("a", host="10.0.0.1", slots=4)
 COLD_PER_S = 10.0
+INCARNATION = 7
 
 
 class FakeUpstream:
@@ -78,6 +79,7 @@
         self.upstream = upstream or FakeUpstream()
         self.receiver = MeshReceiver(
             (OWN.host, OWN.port),
+            INCARNATION,
             self.published.view,
             self.table,
             self.upstream,
@@ -331,6 +333,23 @@
     run(test)
 
 
+def test_fence_of_an_earlier_process_is_not_answered_with_never_ran() -> None:
+    """On a played day a node was killed while its upstream ran a commission.
+
+    The new process answered the fence from its empty ledger, and the caller
+    was told that the request had not run.
+    """
+
+    async def test() -> None:
+        bench = await Bench().announced()
+        fence = messages.CallFence(1, "r", INCARNATION - 1, 500, "")
+        told = await bench.receiver.on_fence("peer", fence)
+        assert isinstance(told, messages.CallFenceReply)
+        assert told.state == messages.FenceState.OTHER_INCARNATION
+
+    run(test)
+
+
 def test_fence_waits_for_a_running_request() -> None:
     async def test() -> None:
         bench = await Bench().announced()
@@ -389,6 +408,7 @@
         upstream = FakeUpstream()
         receiver = MeshReceiver(
             (OWN.host, OWN.port),
+            INCARNATION,
             published.view,
             UpstreamTable(published.view, loop.time),
             upstream,
