Use the whole cold limit, keep a part for short calls, start fewer watches

Change: the expected wait includes the cold limit; 35% of it is kept for short calls while such calls come; the factor is the deployment's setting; an entry ends with a younger one at its address; tried upstreams are remembered by host. A node that is not the first of its zone begins to read only after 1.2 s without a known reader, and a fleet of one or two zones has three readers, so that news does not depend on one machine.

--- a/magnoliafork/mesh/cold.py
+++ b/magnoliafork/mesh/cold.py
@@ -1,16 +1,21 @@
 """Rate limit of a cold upstream.
 
-A cold upstream crashes at a rate well above what its service states. Only the
-node beside it sees all of its requests, so that the limit is kept here,
-whatever senders believe.
+Answers the load after a power loss, when callers return to upstreams that are
+all cold. A cold upstream crashes at a rate well above what its service states.
+Only the node beside it sees all of its requests, so that the limit is kept
+here, whatever senders believe. A part of the limit is kept for the short calls
+of requests that run elsewhere already, because each one that is refused fails
+such a run, and the place in the limit that it took.
 """
 
 import collections
 
 WINDOW_S = 1.0
-# A server tolerates half as much again; the rest is left to requests of an
-# earlier process of this node.
-COLD_RATE_FACTOR = 1.2
+# Share of the limit that long requests may use. In the deployments' request
+# mixes a third to a half of a service's requests are calls of running ones.
+LONG_SHARE = 0.65
+# Nothing is kept for short calls when none has come for this long.
+SHORT_MEMORY_S = 5.0
 
 
 class ColdGate:
@@ -19,10 +24,18 @@
     An upstream of which nothing is known is taken to be cold.
     """
 
-    def __init__(self) -> None:
-        """Starts without knowledge."""
+    def __init__(self, rate_factor: float) -> None:
+        """Starts without knowledge.
+
+        Args:
+            rate_factor: Share of a service's stated rate that its cold
+                upstreams may get.
+        """
+        self._rate_factor = rate_factor
         self._cold_until_s: float | None = None
         self._sent_s: collections.deque[float] = collections.deque()
+        self._long_sent_s: collections.deque[float] = collections.deque()
+        self._short_at_s = float("-inf")
 
     @property
     def is_known(self) -> bool:
@@ -47,27 +60,48 @@
         if self._cold_until_s is not None and until_s > self._cold_until_s:
             self._cold_until_s = until_s
 
-    def note_sent(self, now_s: float) -> None:
+    def note_short(self, now_s: float) -> None:
+        """Notes that a short call has arrived."""
+        self._short_at_s = now_s
+
+    def note_sent(self, now_s: float, *, is_short: bool) -> None:
         """Counts a request that goes to the upstream."""
         self._sent_s.append(now_s)
+        if not is_short:
+            self._long_sent_s.append(now_s)
         self._expire(now_s)
 
-    def wait_s(self, per_s: float, now_s: float) -> float:
+    def wait_s(self, per_s: float, now_s: float, *, is_short: bool) -> float:
         """Returns the time until the next request may go; 0 for at once.
 
-        >>> gate = ColdGate()
-        >>> gate.note_sent(10.0)
-        >>> gate.wait_s(per_s=1.0, now_s=10.25)
+        >>> gate = ColdGate(rate_factor=1.0)
+        >>> gate.note_sent(10.0, is_short=False)
+        >>> gate.wait_s(per_s=1.0, now_s=10.25, is_short=False)
         0.75
+        >>> gate.wait_s(per_s=2.0, now_s=10.25, is_short=True)
+        0.0
         """
         if per_s <= 0 or not self.is_cold(now_s):
             return 0.0
         self._expire(now_s)
-        allowed = max(1, int(per_s * COLD_RATE_FACTOR))
-        if len(self._sent_s) < allowed:
-            return 0.0
-        return self._sent_s[-allowed] + WINDOW_S - now_s
+        allowed = max(1, int(per_s * self._rate_factor))
+        wait_s = _until_free_s(self._sent_s, allowed, now_s)
+        if is_short or now_s - self._short_at_s > SHORT_MEMORY_S:
+            return wait_s
+        allowed_long = max(1, int(allowed * LONG_SHARE))
+        return max(
+            wait_s, _until_free_s(self._long_sent_s, allowed_long, now_s)
+        )
 
     def _expire(self, now_s: float) -> None:
-        while self._sent_s and self._sent_s[0] <= now_s - WINDOW_S:
-            self._sent_s.popleft()
+        for sent_s in (self._sent_s, self._long_sent_s):
+            while sent_s and sent_s[0] <= now_s - WINDOW_S:
+                sent_s.popleft()
+
+
+def _until_free_s(
+    sent_s: collections.deque[float], allowed: int, now_s: float
+) -> float:
+    if len(sent_s) < allowed:
+        return 0.0
+    return sent_s[-allowed] + WINDOW_S - now_s
--- a/magnoliafork/mesh/exchange.py
+++ b/magnoliafork/mesh/exchange.py
@@ -25,6 +25,9 @@
 OTHER_ZONE_PATIENCE_S = 0.25
 # A node that is behind for longer reads the store itself.
 BEHIND_LIMIT_S = 0.7
+# A node that is not the first of its zone reads only when it has known of no
+# reader for this long; a new process hears of the readers within this time.
+TAKEOVER_S = ANNOUNCE_INTERVAL_S + 0.2
 # Time between two requests for what this node lacks.
 ASK_PAUSE_S = 0.1
 # Announced by a node that does not read the store, or not with success.
@@ -68,8 +71,9 @@
         self._behind_since_s: float | None = None
         self._asked_at_s = float("-inf")
         self._met: set[str] = set()
+        self._unread_since_s: float | None = None
         self.source_answered_s = float("-inf")
-        self.is_reader = True
+        self.is_reader = False
         view.subscribe(lambda _: self.announce())
 
     # State for the reader.
@@ -107,9 +111,7 @@
             self._fleet_at = self._view.change_count
             self._fleet = self._known_fleet()
         was_reader = self.is_reader
-        self.is_reader = (
-            readers.is_reader(self._fleet, self.has_source) or self._is_alone
-        )
+        self.is_reader = self._must_read(self._clock())
         if was_reader != self.is_reader:
             self._log.info(
                 Event.READING_CHANGED,
@@ -125,6 +127,17 @@
             self.announce()
         self._catch_up(now_s)
 
+    def _must_read(self, now_s: float) -> bool:
+        if readers.is_first(self._fleet):
+            return True
+        is_unread = readers.is_reader(self._fleet, self.has_source)
+        if not is_unread and not self._is_alone:
+            self._unread_since_s = None
+            return False
+        if self._unread_since_s is None:
+            self._unread_since_s = now_s
+        return now_s - self._unread_since_s >= TAKEOVER_S
+
     def meet(self, host: str) -> None:
         """Notes a peer that called; helps a node that knows nobody."""
         if not self._view.revision and host != self._own_host:
--- a/magnoliafork/mesh/node.py
+++ b/magnoliafork/mesh/node.py
@@ -135,6 +135,7 @@
             self.table,
             self.client,
             dialect,
+            settings.bounds.cold_rate_factor,
             clock,
             log,
         )
@@ -239,6 +240,10 @@
         while not plan.is_over(self._clock(), is_idle=self._is_idle()):
             self._follow(plan)
             await asyncio.sleep(TICK_S / 2)
+        # What crosses the close of the listener is still answered.
+        self.ingress.stop_listening()
+        self.ingress.refuse_for_s = plan.retry_after_s(self._clock())
+        await asyncio.sleep(TICK_S / 2)
         cut = self.receiver.active + self.ingress.in_flight
         await self.close()
         self.log.info(Event.NODE_STOPPED, cut=cut)
--- a/magnoliafork/mesh/placement.py
+++ b/magnoliafork/mesh/placement.py
@@ -174,7 +174,7 @@
 
         Args:
             entries: Upstreams of the service that may get work.
-            excluded: Ids that this request has already tried.
+            excluded: Hosts that this request has already tried.
             job: The request.
         """
         now_s = self._clock()
@@ -224,7 +224,7 @@
     def _compared(
         self, entries: Sequence[UpstreamEntry], excluded: Container[str]
     ) -> list[UpstreamEntry]:
-        left = [e for e in entries if e.upstream_id not in excluded]
+        left = [e for e in entries if e.host not in excluded]
         if len(left) <= MAX_COMPARED:
             return left
         near = [e for e in left if e.zone == self._own_zone]
--- a/magnoliafork/mesh/readers.py
+++ b/magnoliafork/mesh/readers.py
@@ -1,19 +1,24 @@
 """Which nodes read the store, and which peers a node keeps a link to.
 
 Every call to the store has its price, and its rates grow more slowly than the
-fleet. One node in each zone reads; the others follow it and take over when it
-falls silent or loses the store. Nodes agree without talking, because all of
-them rank the nodes of a zone by the same hash.
+fleet. One node in each zone reads, or more where there are few zones; the
+others follow it and take over when it falls silent or loses the store. Nodes
+agree without talking, because all of them rank the nodes of a zone by the same
+hash.
 """
 
 import dataclasses
+import math
 import zlib
 from collections.abc import Callable, Mapping, Sequence
 
 # Nodes of a zone that read at most, however many before them have failed; the
 # other zones' readers then still bring the news.
 MAX_READERS_PER_ZONE = 3
-# Links to nodes of the own zone: the reader and those that take over.
+# Nodes of the fleet that read at least. A reader that loses power is missed
+# only after seconds, in which another one has to bring the news.
+MIN_READERS = 3
+# Links to nodes of the own zone: the readers and those that take over.
 ZONE_LINKS = 2
 
 
@@ -51,15 +56,35 @@
         has_source: Whether a node reads the store with success, as far as is
             known.
     """
+    wanted = readers_wanted(fleet)
     ranked = fleet.zones.get(fleet.own_zone, (fleet.own_host,))
-    for host in ranked[:MAX_READERS_PER_ZONE]:
+    sources = 0
+    for host in ranked[: wanted - 1 + MAX_READERS_PER_ZONE]:
         if host == fleet.own_host:
             return True
-        if has_source(host):
+        sources += has_source(host)
+        if sources >= wanted:
             return False
     return False
 
 
+def is_first(fleet: Fleet) -> bool:
+    """Tells whether this node reads whatever it knows of others."""
+    ranked = fleet.zones.get(fleet.own_zone, (fleet.own_host,))
+    return fleet.own_host in ranked[: readers_wanted(fleet)]
+
+
+def readers_wanted(fleet: Fleet) -> int:
+    """Returns the number of nodes that read in each zone.
+
+    >>> readers_wanted(Fleet("a", "x", {"x": ["a"]}))
+    3
+    >>> readers_wanted(Fleet("a", "x", {"x": ["a"], "y": [], "z": []}))
+    1
+    """
+    return math.ceil(MIN_READERS / max(1, len(fleet.zones)))
+
+
 def link_targets(
     fleet: Fleet, has_source: Callable[[str], bool]
 ) -> tuple[str, ...]:
@@ -70,7 +95,8 @@
     ways.
     """
     ranked = fleet.zones.get(fleet.own_zone, ())
-    targets = [h for h in ranked if h != fleet.own_host][:ZONE_LINKS]
+    near = max(ZONE_LINKS, readers_wanted(fleet))
+    targets = [h for h in ranked if h != fleet.own_host][:near]
     others = sorted(set(fleet.zones) - {fleet.own_zone})
     firsts = [
         _first(fleet.zones[zone], has_source)
--- a/magnoliafork/mesh/reading.py
+++ b/magnoliafork/mesh/reading.py
@@ -18,8 +18,9 @@
 # A watch that waits costs one call; a silent connection is found this much
 # later. Both stay below the time in which a change must be in force.
 WATCH_WAIT_S = 2.0
-# Changes that follow each other closely come with one call.
-GATHER_S = 0.05
+# Changes that follow each other closely come with one call; a twentieth of the
+# time in which a change must be in force.
+GATHER_S = 0.1
 # Pauses after failures, doubled up to the second value.
 FIRST_PAUSE_S = 0.1
 MOST_PAUSE_S = 1.0
--- a/magnoliafork/mesh/receiver.py
+++ b/magnoliafork/mesh/receiver.py
@@ -6,9 +6,10 @@
 from collections.abc import Callable, Sequence
 
 from magnoliafork.admission.ledger import EntryState, Ledger, request_digest
-from magnoliafork.mesh.cold import COLD_RATE_FACTOR, ColdGate
+from magnoliafork.mesh.cold import ColdGate
 from magnoliafork.mesh.dialect import HttpDialect
 from magnoliafork.mesh.model import MeshService, UpstreamEntry
+from magnoliafork.mesh.routes import TargetIndex
 from magnoliafork.mesh.upstream import (
     Upstream,
     UpstreamAnswered,
@@ -20,6 +21,7 @@
 from magnoliafork.mesh.upstream_table import UpstreamTable
 from magnoliafork.mesh.view import Change, MeshView
 from magnoliafork.mesh.work_queue import (
+    SHORT_WORK_SHARE,
     Capacity,
     WaitingCall,
     WorkQueue,
@@ -100,13 +102,15 @@
         table: UpstreamTable,
         client: Upstream,
         dialect: HttpDialect,
+        cold_rate_factor: float,
         clock: Callable[[], float],
         log: EventLog,
     ) -> None:
         """Creates the receiver of the upstream at an address.
 
         `incarnation` names this process; fences of calls to an earlier one
-        are not answered from this ledger.
+        are not answered from this ledger. A cold upstream gets at most its
+        service's rate times `cold_rate_factor`.
         """
         self._address = address
         self._incarnation = incarnation
@@ -116,9 +120,11 @@
         self._dialect = dialect
         self._clock = clock
         self._log = log
-        self._cold = ColdGate()
+        self._cold = ColdGate(cold_rate_factor)
+        self._cold_rate_factor = cold_rate_factor
         self._queue: WorkQueue[_Ticket] = WorkQueue()
         self._work = WorkTimes()
+        self._targets: TargetIndex | None = None
         self._ledger = Ledger()
         self._jobs: dict[str, asyncio.Task[Outcome]] = {}
         self._active: dict[int, tuple[float, float]] = {}
@@ -285,8 +291,12 @@
             deadline_s,
             work_s,
             target_s,
+            is_short=self._is_short(request),
         )
-        refusal = self._queue.refusal(waiting, self._capacity(now_s), now_s)
+        if waiting.is_short:
+            self._cold.note_short(now_s)
+        capacity = self._capacity(now_s, is_short=waiting.is_short)
+        refusal = self._queue.refusal(waiting, capacity, now_s)
         if refusal is not None and refusal.is_too_late:
             return self._refuse(request, NotRunReason.DEADLINE, 0)
         if refusal is not None:
@@ -408,15 +418,29 @@
 
     # Queue.
 
-    def _capacity(self, now_s: float) -> Capacity:
+    def _is_short(self, request: messages.CallRequest) -> bool:
+        """Tells whether a request is a short call of a running one."""
+        config = self._view.config
+        if config is None:
+            return False
+        if self._targets is None or self._targets.config is not config:
+            self._targets = TargetIndex(config)
+        longest_s = self._targets.longest_s(request.service_name)
+        return request.target_latency_ms / 1000 <= longest_s * SHORT_WORK_SHARE
+
+    def _capacity(self, now_s: float, *, is_short: bool) -> Capacity:
         left_s = tuple(
             max(work_s * OVERRUN_SHARE, started_s + work_s - now_s)
             for started_s, work_s in self._active.values()
         )
-        rate = 0.0
+        rate, rate_wait_s = 0.0, 0.0
         if self._cold.is_cold(now_s):
-            rate = self._cold_per_s() * COLD_RATE_FACTOR
-        return Capacity(self.limit, left_s, rate, self._work.longest_s)
+            per_s = self._cold_per_s()
+            rate = per_s * self._cold_rate_factor
+            rate_wait_s = self._cold.wait_s(per_s, now_s, is_short=is_short)
+        return Capacity(
+            self.limit, left_s, rate, self._work.longest_s, rate_wait_s
+        )
 
     def _cold_per_s(self) -> float:
         service = self._service()
@@ -431,12 +455,9 @@
             if not late.item.turn.done():
                 late.item.turn.set_result(refusal)
         while len(self._queue) and self.active < self.limit:
-            wait_s = self._cold.wait_s(self._cold_per_s(), now_s)
-            if wait_s > 0:
-                self._dispatch_after(wait_s)
+            waiting = self._next(now_s)
+            if waiting is None:
                 return
-            waiting = self._queue.pop()
-            assert waiting is not None
             request = waiting.item.request
             standing = self._standing(request.service_name)
             if waiting.item.turn.done():
@@ -446,10 +467,25 @@
                     self._refuse(request, standing, self._away_ms(standing))
                 )
                 continue
-            self._cold.note_sent(now_s)
+            self._cold.note_sent(now_s, is_short=waiting.is_short)
             self._active[id(request)] = (now_s, waiting.work_s)
             waiting.item.turn.set_result(None)
 
+    def _next(self, now_s: float) -> WaitingCall[_Ticket] | None:
+        """Takes what the cold limit lets pass, or plans the next look."""
+        per_s = self._cold_per_s()
+        long_wait_s = self._cold.wait_s(per_s, now_s, is_short=False)
+        if long_wait_s <= 0:
+            return self._queue.pop()
+        short_wait_s = self._cold.wait_s(per_s, now_s, is_short=True)
+        if short_wait_s > 0:
+            self._dispatch_after(short_wait_s)
+            return None
+        call = self._queue.pop_short()
+        if call is None:
+            self._dispatch_after(long_wait_s)
+        return call
+
     def _dispatch_after(self, wait_s: float) -> None:
         if self._wake is not None:
             self._wake.cancel()
--- a/magnoliafork/mesh/sender.py
+++ b/magnoliafork/mesh/sender.py
@@ -157,7 +157,7 @@
     state: CallState
     job: Job
     started_s: float
-    tried: set[str] = dataclasses.field(default_factory=set)
+    tried: dict[str, str] = dataclasses.field(default_factory=dict)
     reached: int = 0
     retry_after_ms: int = 0
     unknown: OutcomeUnknown | None = None
@@ -353,7 +353,7 @@
         entries = self._upstreams(run.service)
         entry = self.placement.choose(entries, run.tried, run.job)
         if entry is not None:
-            run.tried.add(entry.upstream_id)
+            run.tried[entry.host] = entry.upstream_id
         return entry
 
     def _upstreams(self, service: str) -> tuple[UpstreamEntry, ...]:
@@ -483,7 +483,7 @@
             route=run.route.name,
             service=run.service,
             reason=outcome.reason.value,
-            tried=sorted(run.tried),
+            tried=sorted(run.tried.values()),
             reached=run.reached,
             config_version=config.version if config else 0,
             view_revision=self._view.revision,
--- a/magnoliafork/mesh/settings.py
+++ b/magnoliafork/mesh/settings.py
@@ -72,12 +72,15 @@
         retry_budget_ratio: Extra attempts allowed for each request.
         retry_budget_slack: Extra attempts of the fleet in a window.
         retry_budget_window_s: Length of that window.
+        cold_rate_factor: Share of a service's stated rate that its cold
+            upstreams may get.
     """
 
     grace_period_s: Seconds = 6.0
     retry_budget_ratio: Share = 0.2
     retry_budget_slack: Annotated[float, pydantic.Field(ge=0)] = 60.0
     retry_budget_window_s: Annotated[float, pydantic.Field(gt=0)] = 10.0
+    cold_rate_factor: Annotated[float, pydantic.Field(gt=0, le=10)] = 1.5
 
 
 class Logs(_Section):
--- a/magnoliafork/mesh/upstream_table.py
+++ b/magnoliafork/mesh/upstream_table.py
@@ -46,9 +46,17 @@
         return min(self._clock() - self._back_at_s, MAX_AGO_S)
 
     def of_service(self, service: str) -> tuple[UpstreamEntry, ...]:
-        """Returns the upstreams of a service that may get work."""
+        """Returns the upstreams of a service that may get work.
+
+        The entry of a crashed upstream stays for a while; it is left out once
+        a younger one has its address.
+        """
         zones_out = self._view.zones_out
-        known = self._view.upstreams_of(service)
+        known = [
+            entry
+            for entry in self._view.upstreams_of(service)
+            if self._view.upstream_at(entry.host, entry.port) is entry
+        ]
         held = [e for e in self._held.values() if e.service == service]
         return tuple(
             entry
--- a/magnoliafork/mesh/view.py
+++ b/magnoliafork/mesh/view.py
@@ -75,6 +75,7 @@
         self._zones_out: frozenset[str] = frozenset()
         self._by_service: dict[str, tuple[UpstreamEntry, ...]] = {}
         self._upstreams: dict[str, UpstreamEntry] = {}
+        self._by_address: dict[tuple[str, int], UpstreamEntry] = {}
 
     @property
     def zones_out(self) -> frozenset[str]:
@@ -92,12 +93,7 @@
 
     def upstream_at(self, host: str, port: int) -> UpstreamEntry | None:
         """Returns the youngest entry with an address, or None."""
-        found = [
-            entry
-            for entry in self._upstreams.values()
-            if entry.host == host and entry.port == port
-        ]
-        return max(found, key=lambda entry: entry.born_ms, default=None)
+        return self._by_address.get((host, port))
 
     def subscribe(self, notify: Callable[[Sequence[Change]], None]) -> None:
         """Calls a function with the changes after each step forward."""
@@ -185,6 +181,7 @@
             for fact in self._facts.values()
             if isinstance(fact, UpstreamEntry)
         }
+        self._by_address = _youngest_by_address(self._upstreams.values())
         by_service: dict[str, list[UpstreamEntry]] = {}
         for upstream_id in sorted(self._upstreams):
             entry = self._upstreams[upstream_id]
@@ -208,3 +205,15 @@
 def unreadable(changes: Iterable[Change]) -> list[Change]:
     """Returns the changes to items that cannot be read."""
     return [c for c in changes if isinstance(c.after, Unreadable)]
+
+
+def _youngest_by_address(
+    entries: Iterable[UpstreamEntry],
+) -> dict[tuple[str, int], UpstreamEntry]:
+    youngest: dict[tuple[str, int], UpstreamEntry] = {}
+    for entry in entries:
+        address = (entry.host, entry.port)
+        other = youngest.get(address)
+        if other is None or entry.born_ms > other.born_ms:
+            youngest[address] = entry
+    return youngest
--- a/magnoliafork/mesh/work_queue.py
+++ b/magnoliafork/mesh/work_queue.py
@@ -56,6 +56,7 @@
         deadline_s: Time at which its caller gives up.
         work_s: Time that the upstream will take for it.
         target_s: Time at which an answer loses a part of its value.
+        is_short: Whether it is a short call, as running requests make them.
         leave_s: Time until which it may wait; set when it is admitted.
     """
 
@@ -64,6 +65,7 @@
     deadline_s: float
     work_s: float
     target_s: float
+    is_short: bool = False
     leave_s: float = float("inf")
 
     @property
@@ -123,6 +125,7 @@
         slots: Requests that it runs at a time.
         active_left_s: Time that each running request still needs.
         rate_limit_per_s: Requests that it may get in a second; 0 for no limit.
+        rate_wait_s: Time until that limit lets the next request pass.
         longest_work_s: Work of the longest kind of request; 0 if unknown.
     """
 
@@ -130,6 +133,7 @@
     active_left_s: tuple[float, ...]
     rate_limit_per_s: float
     longest_work_s: float = 0.0
+    rate_wait_s: float = 0.0
 
 
 class WorkQueue(Generic[T]):
@@ -157,7 +161,8 @@
             heapq.heapreplace(ends_s, ends_s[0] + call.work_s)
         wait_s = ends_s[0]
         if capacity.rate_limit_per_s > 0:
-            wait_s = max(wait_s, len(ahead) / capacity.rate_limit_per_s)
+            rate_wait_s = len(ahead) / capacity.rate_limit_per_s
+            wait_s = max(wait_s, capacity.rate_wait_s + rate_wait_s)
         return wait_s
 
     def refusal(
@@ -172,7 +177,8 @@
             return Refusal(0.0, is_too_late=True)
         wait_s = self.wait_s(call.due_s, capacity)
         patience_s = _patience_s(call, left_s, now_s)
-        if call.work_s <= capacity.longest_work_s * SHORT_WORK_SHARE:
+        longest_short_s = capacity.longest_work_s * SHORT_WORK_SHARE
+        if call.is_short or call.work_s <= longest_short_s:
             patience_s = max(
                 patience_s, left_s * SHORT_PATIENCE_SHARE - call.work_s
             )
@@ -192,6 +198,13 @@
         """Takes the next request."""
         return self._waiting.pop(0) if self._waiting else None
 
+    def pop_short(self) -> WaitingCall[T] | None:
+        """Takes the next short call, whatever waits before it."""
+        for index, call in enumerate(self._waiting):
+            if call.is_short:
+                return self._waiting.pop(index)
+        return None
+
     def remove(self, call: WaitingCall[T]) -> bool:
         """Takes a request out; false when it no longer waits."""
         if call not in self._waiting:
--- a/magnoliafork/tests/mesh/test_cold.py
+++ b/magnoliafork/tests/mesh/test_cold.py
@@ -4,9 +4,10 @@
 
 import pytest
 
-from magnoliafork.mesh.cold import COLD_RATE_FACTOR, WINDOW_S, ColdGate
+from magnoliafork.mesh.cold import WINDOW_S, ColdGate
 
 PER_S = 10.0
+COLD_RATE_FACTOR = 1.5
 
 
 def send_greedily(
@@ -15,8 +16,8 @@
     """Sends whenever the gate allows it; returns the times."""
     now_s, sent = 100.0, []
     while now_s < 100.0 + seconds:
-        if gate.wait_s(PER_S, now_s) <= 0:
-            gate.note_sent(now_s)
+        if gate.wait_s(PER_S, now_s, is_short=False) <= 0:
+            gate.note_sent(now_s, is_short=False)
             sent.append(now_s)
         now_s += rng.random() * 0.02
     return sent
@@ -32,13 +33,13 @@
 @pytest.mark.parametrize("seed", range(5))
 def test_unknown_upstream_is_treated_as_cold(seed: int) -> None:
     """A node that has just started knows nothing of its upstream."""
-    sent = send_greedily(ColdGate(), 5.0, random.Random(seed))
+    sent = send_greedily(ColdGate(COLD_RATE_FACTOR), 5.0, random.Random(seed))
     assert busiest_second(sent) <= PER_S * COLD_RATE_FACTOR
     assert len(sent) >= 5 * PER_S * 0.9
 
 
 def test_warm_upstream_is_not_limited() -> None:
-    gate = ColdGate()
+    gate = ColdGate(COLD_RATE_FACTOR)
     gate.learn(0.0, now_s=100.0)
     sent = send_greedily(gate, 1.0, random.Random(1))
     assert len(sent) > 50
@@ -46,16 +47,16 @@
 
 def test_requests_sent_while_warm_count_after_a_fall() -> None:
     """The upstream bears the rate from the first cold second on."""
-    gate = ColdGate()
+    gate = ColdGate(COLD_RATE_FACTOR)
     gate.learn(0.0, now_s=0.0)
     for number in range(40):
-        gate.note_sent(1.0 + number / 1000)
+        gate.note_sent(1.0 + number / 1000, is_short=False)
     gate.doubt()
-    assert gate.wait_s(PER_S, now_s=1.1) > 0
+    assert gate.wait_s(PER_S, now_s=1.1, is_short=True) > 0
 
 
 def test_longer_cold_time_of_the_entry_wins() -> None:
-    gate = ColdGate()
+    gate = ColdGate(COLD_RATE_FACTOR)
     gate.learn(0.5, now_s=0.0)
     gate.extend(3.0, now_s=0.2)
     assert gate.is_cold(3.1)
@@ -66,7 +67,7 @@
 
 def test_extension_does_not_end_doubt() -> None:
     """An entry older than the restart must not hide it."""
-    gate = ColdGate()
+    gate = ColdGate(COLD_RATE_FACTOR)
     gate.doubt()
     gate.extend(1.0, now_s=0.0)
     assert not gate.is_known
@@ -74,4 +75,26 @@
 
 
 def test_service_without_a_rate_has_no_limit() -> None:
-    assert ColdGate().wait_s(0.0, now_s=1.0) == 0.0
+    assert (
+        ColdGate(COLD_RATE_FACTOR).wait_s(0.0, now_s=1.0, is_short=False) == 0.0
+    )
+
+
+def test_long_requests_leave_a_part_of_the_limit_to_short_calls() -> None:
+    """A short call that is refused fails the run that made it."""
+    gate = ColdGate(COLD_RATE_FACTOR)
+    gate.note_short(100.0)
+    sent = 0
+    while gate.wait_s(PER_S, 100.0, is_short=False) <= 0:
+        gate.note_sent(100.0, is_short=False)
+        sent += 1
+    assert sent < PER_S * COLD_RATE_FACTOR * 0.75
+    while gate.wait_s(PER_S, 100.0, is_short=True) <= 0:
+        gate.note_sent(100.0, is_short=True)
+        sent += 1
+    assert sent == int(PER_S * COLD_RATE_FACTOR)
+
+
+def test_whole_limit_is_used_where_no_short_calls_come() -> None:
+    sent = send_greedily(ColdGate(COLD_RATE_FACTOR), 1.0, random.Random(1))
+    assert len(sent) >= int(PER_S * COLD_RATE_FACTOR)
--- a/magnoliafork/tests/mesh/test_exchange.py
+++ b/magnoliafork/tests/mesh/test_exchange.py
@@ -3,6 +3,8 @@
 import io
 import random
 
+import pytest
+
 from magnoliafork.mesh.exchange import (
     BEHIND_LIMIT_S,
     OTHER_ZONE_PATIENCE_S,
@@ -33,7 +35,9 @@
 class World:
     """Nodes whose links lose nothing unless a test cuts them."""
 
-    def __init__(self, per_zone: int = 4) -> None:
+    def __init__(
+        self, per_zone: int = 4, zones: tuple[str, ...] = ZONES
+    ) -> None:
         self.now_s = 1000.0
         self.book = FactBook()
         self.nodes: dict[str, WorldNode] = {}
@@ -41,7 +45,7 @@
         self.frames: list[tuple[str, str, ControlMessage]] = []
         self.revision = 0
         self.state: dict[str, ViewDelta] = {}
-        for zone in ZONES:
+        for zone in zones:
             for number in range(per_zone):
                 host = f"{zone}{number}"
                 self.nodes[host] = WorldNode(self, host)
@@ -131,6 +135,35 @@
     assert sorted(h[0] for h in readers_of(world)) == sorted(ZONES)
 
 
+@pytest.mark.parametrize("zones", [("x",), ("x", "y")])
+def test_fleet_of_few_zones_has_a_reader_that_brings_news_after_a_loss(
+    zones: tuple[str, ...],
+) -> None:
+    """A change was missed for seconds when the only reader lost power."""
+    world = World(per_zone=6, zones=zones)
+    first = readers_of(world)[0]
+    world.cut.add(first)
+    delta = world.publish(2)
+    for host in readers_of(world):
+        if host not in world.cut:
+            world.nodes[host].view.apply(delta)
+    world.run(1.0)
+    assert behind(world) == []
+
+
+def test_nodes_that_start_together_do_not_all_watch_the_store() -> None:
+    """After a power loss every node read until its links were up."""
+    world = World(per_zone=8)
+    for host in list(world.nodes):
+        world.nodes[host] = WorldNode(world, host)
+        world.nodes[host].view.apply(world.base)
+    most = len(readers_of(world))
+    for _ in range(40):
+        world.run(0.05)
+        most = max(most, len(readers_of(world)))
+    assert most == len(ZONES)
+
+
 def test_news_of_one_reader_reaches_all_nodes() -> None:
     """The other readers may be cut from the store."""
     world = World()
--- a/magnoliafork/tests/mesh/test_placement.py
+++ b/magnoliafork/tests/mesh/test_placement.py
@@ -155,4 +155,4 @@
 
 def test_excluded_upstreams_are_not_chosen() -> None:
     table, _ = make()
-    assert table.choose((NEAR,), {NEAR.upstream_id}, JOB) is None
+    assert table.choose((NEAR,), {NEAR.host}, JOB) is None
--- a/magnoliafork/tests/mesh/test_receiver.py
+++ b/magnoliafork/tests/mesh/test_receiver.py
@@ -7,7 +7,6 @@
 
 import pytest
 
-from magnoliafork.mesh.cold import COLD_RATE_FACTOR
 from magnoliafork.mesh.dialect import HealthFacts
 from magnoliafork.mesh.receiver import MeshReceiver
 from magnoliafork.mesh.upstream import (
@@ -30,6 +29,7 @@
 from magnoliafork.wire import messages
 
 OWN = entry("a", host="10.0.0.1", slots=4)
+COLD_RATE_FACTOR = 1.5
 COLD_PER_S = 10.0
 INCARNATION = 7
 
@@ -84,6 +84,7 @@
             self.table,
             self.upstream,
             PlatformHttp(),
+            COLD_RATE_FACTOR,
             loop.time,
             EventLog("error", io.StringIO()),
         )
@@ -413,6 +414,7 @@
             UpstreamTable(published.view, loop.time),
             upstream,
             PlatformHttp(),
+            COLD_RATE_FACTOR,
             loop.time,
             EventLog("error", io.StringIO()),
         )
--- a/magnoliafork/tests/mesh/test_work_queue.py
+++ b/magnoliafork/tests/mesh/test_work_queue.py
@@ -137,6 +137,26 @@
     assert 3 <= admitted <= 5
 
 
+def test_used_up_cold_limit_refuses_at_once() -> None:
+    """A request waited for the limit until its time was over."""
+    queue: WorkQueue[int] = WorkQueue()
+    capacity = Capacity(4, (), rate_limit_per_s=10.0, rate_wait_s=0.8)
+    call = WaitingCall(1, 10.4, 12.0, 0.05, 10.4)
+    refusal = queue.refusal(call, capacity, 10.0)
+    assert refusal is not None
+    assert 0.3 < refusal.retry_after_s <= 0.8
+
+
+def test_short_call_passes_requests_that_the_cold_limit_holds() -> None:
+    queue: WorkQueue[str] = WorkQueue()
+    queue.push(WaitingCall("browse", 10.1, 12.0, 0.3, 10.4))
+    queue.push(WaitingCall("nested", 10.2, 12.0, 0.03, 10.4, is_short=True))
+    call = queue.pop_short()
+    assert call is not None
+    assert call.item == "nested"
+    assert queue.pop_short() is None
+
+
 def test_short_calls_of_running_requests_go_first() -> None:
     queue: WorkQueue[str] = WorkQueue()
     browse_s = due_s(10.0, 0.4, 2, is_late=False)
