Tell short calls by the mix of requests; split the cold watch off

A service's longest target latency was taken from all configured routes, among them some that hardly get a request; beside those, callers' requests counted as short calls, which may wait much longer in the queue.

Ruled out: upstreams left out by the entry of a successor (same arrivals and number of upstreams).

Change: a kind counts when it makes 5% of the last 200 requests, and being short by its target only concerns the cold limit; the queue goes by the measured work again. The code that learns whether the upstream is cold has its own module. Hosts without calls are forgotten by the placement; an event that nothing used is gone.

Test: test_rare_kinds_do_not_make_the_usual_ones_short, test_hosts_without_calls_are_forgotten.

--- a/magnoliafork/mesh/metrics.py
+++ b/magnoliafork/mesh/metrics.py
@@ -34,7 +34,7 @@
         "calls_broken_total": receiver.broken,
         "calls_active": node.receiver.active,
         "calls_queued": node.receiver.queued,
-        "health_checks_total": receiver.health_checks,
+        "health_checks_total": node.receiver.health_checks,
         "upstream_connections_total": node.client.connections_opened,
         "links_silent_total": node.pool.silent_links,
         "control_sent_bytes_total": node.traffic.control_sent_bytes,
--- a/magnoliafork/mesh/node.py
+++ b/magnoliafork/mesh/node.py
@@ -273,6 +273,7 @@
         )
         self.links.close()
         await self._server.stop()
+        self.receiver.close()
         await self.pool.close()
         await self.client.close()
 
--- a/magnoliafork/mesh/placement.py
+++ b/magnoliafork/mesh/placement.py
@@ -42,6 +42,8 @@
 # the same upstream.
 NOISE_SHARE = 0.15
 MAX_KINDS = 256
+# Hosts without a call for this long are forgotten; all hints are old by then.
+FORGET_AFTER_S = 300.0
 # Weight of the newest value in averages.
 AVERAGE_WEIGHT = 0.1
 
@@ -56,6 +58,7 @@
     hinted_at_s: float = float("-inf")
     sent_since_hint: int = 0
     in_flight: int = 0
+    begun_at_s: float = 0.0
     failure_share: float = 0.0
     failures_at_s: float = float("-inf")
     refused_until_s: float = float("-inf")
@@ -103,6 +106,7 @@
         known = self._entry(instance_id)
         known.in_flight += 1
         known.sent_since_hint += 1
+        known.begun_at_s = self._clock()
 
     def end(self, instance_id: str) -> None:
         """Counts the end of a call."""
@@ -156,10 +160,11 @@
         answer = self._answer_bytes.get(kind, DEFAULT_ANSWER_BYTES)
         return request_bytes + int(answer)
 
-    def retain(self, hosts: Container[str]) -> None:
-        """Drops idle entries of hosts that no longer exist."""
-        for host in list(self._known):
-            if host not in hosts and self._known[host].in_flight <= 0:
+    def _forget_idle(self, now_s: float) -> None:
+        """Drops hosts that had no call for long."""
+        for host, known in list(self._known.items()):
+            is_old = now_s - known.begun_at_s > FORGET_AFTER_S
+            if is_old and known.in_flight <= 0:
                 del self._known[host]
 
     # Choosing.
@@ -280,5 +285,7 @@
     def _entry(self, host: str) -> _Known:
         known = self._known.get(host)
         if known is None:
-            known = self._known[host] = _Known()
+            now_s = self._clock()
+            self._forget_idle(now_s)
+            known = self._known[host] = _Known(begun_at_s=now_s)
         return known
--- a/magnoliafork/mesh/receiver.py
+++ b/magnoliafork/mesh/receiver.py
@@ -7,9 +7,9 @@
 
 from magnoliafork.admission.ledger import EntryState, Ledger, request_digest
 from magnoliafork.mesh.cold import ColdGate
+from magnoliafork.mesh.cold_watch import ColdWatch
 from magnoliafork.mesh.dialect import HttpDialect
 from magnoliafork.mesh.model import MeshService, UpstreamEntry
-from magnoliafork.mesh.routes import TargetIndex
 from magnoliafork.mesh.upstream import (
     Upstream,
     UpstreamAnswered,
@@ -21,8 +21,8 @@
 from magnoliafork.mesh.upstream_table import UpstreamTable
 from magnoliafork.mesh.view import Change, MeshView
 from magnoliafork.mesh.work_queue import (
-    SHORT_WORK_SHARE,
     Capacity,
+    RequestMix,
     WaitingCall,
     WorkQueue,
     WorkTimes,
@@ -45,8 +45,6 @@
 ANSWER_GRACE_S = 0.06
 # After a refused connection the upstream is not tried for this long.
 DOWN_PAUSE_S = 0.25
-# Pause between health checks while it is not known whether it is cold.
-HEALTH_PAUSE_S = 0.4
 # Slots of an upstream whose entry is not known.
 DEFAULT_SLOTS = 4
 # Weight of the newest result in the share of failures.
@@ -79,7 +77,6 @@
         sent: Requests given to the upstream.
         refused_by: Refused calls by reason.
         broken: Requests without a usable answer.
-        health_checks: Health checks sent.
     """
 
     calls: int = 0
@@ -88,7 +85,6 @@
         default_factory=collections.Counter
     )
     broken: int = 0
-    health_checks: int = 0
 
 
 class MeshReceiver:
@@ -124,7 +120,7 @@
         self._cold_rate_factor = cold_rate_factor
         self._queue: WorkQueue[_Ticket] = WorkQueue()
         self._work = WorkTimes()
-        self._targets: TargetIndex | None = None
+        self._mix = RequestMix()
         self._ledger = Ledger()
         self._jobs: dict[str, asyncio.Task[Outcome]] = {}
         self._active: dict[int, tuple[float, float]] = {}
@@ -132,9 +128,16 @@
         self._down_until_s = 0.0
         self._failure_share = 0.0
         self._wake: asyncio.TimerHandle | None = None
-        self._check: asyncio.Task[None] | None = None
-        self._health_at_s = 0.0
-        self._was_zone_out = False
+        self._cold_watch = ColdWatch(
+            address,
+            self._cold,
+            view,
+            table,
+            client,
+            clock,
+            log,
+            on_reached=self._on_reached,
+        )
         self.is_stopping = False
         self.counters = ReceiverCounters()
         view.subscribe(self._on_changes)
@@ -157,6 +160,11 @@
         entry = self._entry()
         return max(1, entry.slots) if entry is not None else DEFAULT_SLOTS
 
+    @property
+    def health_checks(self) -> int:
+        """Health checks sent."""
+        return self._cold_watch.health_checks
+
     @property
     def is_idle(self) -> bool:
         """Whether no request runs or waits."""
@@ -279,6 +287,7 @@
         target_latency_s = request.target_latency_ms / 1000
         target_s = now_s + target_latency_s - request.age_ms / 1000
         work_s = self._work.work_s(request.target_latency_ms)
+        self._mix.note(request.target_latency_ms)
         ticket = _Ticket(request, asyncio.get_running_loop().create_future())
         waiting = WaitingCall(
             ticket,
@@ -291,7 +300,7 @@
             deadline_s,
             work_s,
             target_s,
-            is_short=self._is_short(request),
+            is_short=self._mix.is_short(request.target_latency_ms),
         )
         if waiting.is_short:
             self._cold.note_short(now_s)
@@ -384,12 +393,12 @@
         if result.status:
             self._note_result(True)
             if result.status == _MISDIRECTED:
-                self._doubt("another upstream has the address")
+                self._cold_watch.doubt("another upstream has the address")
             return self._refuse(
                 request, NotRunReason.UPSTREAM_REFUSED, DOWN_RETRY_MS
             )
         self._down_until_s = self._clock() + DOWN_PAUSE_S
-        self._doubt(result.detail)
+        self._cold_watch.doubt(result.detail)
         return self._refuse(request, NotRunReason.UNREACHABLE, DOWN_RETRY_MS)
 
     def _refuse(
@@ -418,16 +427,6 @@
 
     # Queue.
 
-    def _is_short(self, request: messages.CallRequest) -> bool:
-        """Tells whether a request is a short call of a running one."""
-        config = self._view.config
-        if config is None:
-            return False
-        if self._targets is None or self._targets.config is not config:
-            self._targets = TargetIndex(config)
-        longest_s = self._targets.longest_s(request.service_name)
-        return request.target_latency_ms / 1000 <= longest_s * SHORT_WORK_SHARE
-
     def _capacity(self, now_s: float, *, is_short: bool) -> Capacity:
         left_s = tuple(
             max(work_s * OVERRUN_SHARE, started_s + work_s - now_s)
@@ -498,43 +497,13 @@
         value = 1.0 if is_failure else 0.0
         self._failure_share += (value - self._failure_share) * FAILURE_WEIGHT
 
-    def _doubt(self, cause: str) -> None:
-        if self._cold.is_known:
-            self._log.info(Event.UPSTREAM_COLD, cause=cause, is_known=False)
-        self._cold.doubt()
-        self._check_health()
-
     def _on_changes(self, changes: Sequence[Change]) -> None:
-        own_host, own_port = self._address
-        for change in changes:
-            after = change.after
-            if not isinstance(after, UpstreamEntry):
-                continue
-            if (after.host, after.port) != (own_host, own_port):
-                continue
-            self._on_entry(change.before, after)
-        is_out = self._is_zone_out()
-        if self._was_zone_out and not is_out:
-            # Upstreams of a zone may be cold when it comes back.
-            self._doubt("zone taken back")
-        self._was_zone_out = is_out
+        self._cold_watch.on_changes(changes)
         self._dispatch()
 
-    def _is_zone_out(self) -> bool:
-        entry = self._entry()
-        return entry is not None and entry.zone in self._view.zones_out
-
-    def _on_entry(self, before: object, after: UpstreamEntry) -> None:
-        is_same = (
-            isinstance(before, UpstreamEntry)
-            and before.upstream_id == after.upstream_id
-            and before.born_ms == after.born_ms
-        )
-        if not is_same:
-            self._down_until_s = 0.0
-            self._doubt(f"new upstream {after.upstream_id}")
-        elif after.cold_left_s > 0:
-            self._cold.extend(after.cold_left_s, self._clock())
+    def _on_reached(self) -> None:
+        self._down_until_s = 0.0
+        self._dispatch()
 
     def on_disconnected(self) -> None:
         """Notes that the upstream has closed the last connection.
@@ -542,34 +511,11 @@
         An upstream that starts anew loses all of its connections; one that
         loses some answers does not.
         """
-        self._doubt("all connections lost")
-
-    def _check_health(self) -> None:
-        if self._check is None or self._check.done():
-            self._check = asyncio.create_task(self._learn_cold())
-
-    async def _learn_cold(self) -> None:
-        while not self._cold.is_known and not self.is_stopping:
-            service = self._service()
-            now_s = self._clock()
-            if service is not None and now_s >= self._health_at_s:
-                self._health_at_s = now_s + HEALTH_PAUSE_S
-                self.counters.health_checks += 1
-                facts = await self._client.health(service.health_path)
-                if facts is not None and not facts.upstream_id:
-                    facts = None
-                if facts is not None:
-                    self._down_until_s = 0.0
-                    self._cold.learn(facts.cold_left_s, self._clock())
-                    self._log.info(
-                        Event.UPSTREAM_COLD,
-                        upstream=facts.upstream_id,
-                        cold_for_ms=int(facts.cold_left_s * 1000),
-                        is_known=True,
-                    )
-                    self._dispatch()
-                    return
-            await asyncio.sleep(HEALTH_PAUSE_S / 4)
+        self._cold_watch.doubt("all connections lost")
+
+    def close(self) -> None:
+        """Ends what runs in the background; calls are left alone."""
+        self._cold_watch.close()
 
     def tick(self) -> None:
         """Serves the queue; called several times a second."""
--- a/magnoliafork/mesh/routes.py
+++ b/magnoliafork/mesh/routes.py
@@ -76,22 +76,3 @@
         for name in list(self._turns):
             if name not in names:
                 del self._turns[name]
-
-
-class TargetIndex:
-    """Longest target latency of the routes of each service."""
-
-    def __init__(self, config: MeshConfig) -> None:
-        """Indexes a configuration."""
-        self.config = config
-        self._longest_s: dict[str, float] = {}
-        for route in config.routes:
-            for target in route.targets:
-                known_s = self._longest_s.get(target.service, 0.0)
-                self._longest_s[target.service] = max(
-                    known_s, route.target_latency_s
-                )
-
-    def longest_s(self, service: str) -> float:
-        """Returns the longest target of a service; 0 if it has no route."""
-        return self._longest_s.get(service, 0.0)
--- a/magnoliafork/mesh/work_queue.py
+++ b/magnoliafork/mesh/work_queue.py
@@ -10,6 +10,7 @@
 answer would be late otherwise.
 """
 
+import collections
 import dataclasses
 import heapq
 from collections.abc import Iterator
@@ -42,6 +43,10 @@
 # Weight of the newest value in averages; about the last ten count.
 AVERAGE_WEIGHT = 0.1
 MAX_WORK_KINDS = 256
+# Requests of which the mix is remembered; some seconds of an upstream's load.
+MIX_REQUESTS = 200
+# Share of the requests from which on a kind is usual.
+MIN_KIND_SHARE = 0.05
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 2.0
 
@@ -117,6 +122,39 @@
         self._by_kind_s[kind] = known + (seconds - known) * AVERAGE_WEIGHT
 
 
+class RequestMix:
+    """Tells short calls from the other requests before any work is known.
+
+    A call that a running request makes has a much shorter target latency than
+    the requests of callers. Kinds that hardly come, such as checks of single
+    routes, do not count.
+    """
+
+    def __init__(self) -> None:
+        """Starts without requests."""
+        self._counts: collections.Counter[int] = collections.Counter()
+
+    def note(self, kind: int) -> None:
+        """Counts a request with a target latency in milliseconds."""
+        self._counts[kind] += 1
+        if self._counts.total() > MIX_REQUESTS:
+            halved = {k: n // 2 for k, n in self._counts.items() if n > 1}
+            self._counts = collections.Counter(halved)
+
+    def is_short(self, kind: int) -> bool:
+        """Tells whether a target latency is that of a short call.
+
+        >>> mix = RequestMix()
+        >>> for kind in [120, 800, 800, 120]:
+        ...     mix.note(kind)
+        >>> mix.is_short(120), mix.is_short(800)
+        (True, False)
+        """
+        least = self._counts.total() * MIN_KIND_SHARE
+        usual = [k for k, count in self._counts.items() if count >= least]
+        return kind <= max(usual, default=0) * SHORT_WORK_SHARE
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Capacity:
     """What the upstream can do now.
@@ -177,8 +215,7 @@
             return Refusal(0.0, is_too_late=True)
         wait_s = self.wait_s(call.due_s, capacity)
         patience_s = _patience_s(call, left_s, now_s)
-        longest_short_s = capacity.longest_work_s * SHORT_WORK_SHARE
-        if call.is_short or call.work_s <= longest_short_s:
+        if call.work_s <= capacity.longest_work_s * SHORT_WORK_SHARE:
             patience_s = max(
                 patience_s, left_s * SHORT_PATIENCE_SHARE - call.work_s
             )
--- a/magnoliafork/observe/events.py
+++ b/magnoliafork/observe/events.py
@@ -39,7 +39,6 @@
     STORE_UNAVAILABLE = "store_unavailable"
     STORE_AVAILABLE = "store_available"
     READING_CHANGED = "reading_changed"
-    VIEW_BEHIND = "view_behind"
     ITEM_UNREADABLE = "item_unreadable"
     UPSTREAM_CHANGED = "upstream_changed"
     REQUEST_REFUSED = "request_refused"
--- a/magnoliafork/tests/mesh/test_placement.py
+++ b/magnoliafork/tests/mesh/test_placement.py
@@ -156,3 +156,14 @@
 def test_excluded_upstreams_are_not_chosen() -> None:
     table, _ = make()
     assert table.choose((NEAR,), {NEAR.host}, JOB) is None
+
+
+def test_hosts_without_calls_are_forgotten() -> None:
+    """Addresses of a fleet that is replaced for years would pile up."""
+    table, clock = make()
+    for number in range(500):
+        host = f"10.2.{number // 250}.{number % 250}"
+        table.begin(host)
+        table.end(host)
+        clock.now_s += 10.0
+    assert len(table._known) < 100
--- a/magnoliafork/tests/mesh/test_work_queue.py
+++ b/magnoliafork/tests/mesh/test_work_queue.py
@@ -7,6 +7,7 @@
 from magnoliafork.mesh.work_queue import (
     Capacity,
     Refusal,
+    RequestMix,
     WaitingCall,
     WorkQueue,
     due_s,
@@ -137,6 +138,15 @@
     assert 3 <= admitted <= 5
 
 
+def test_rare_kinds_do_not_make_the_usual_ones_short() -> None:
+    """Callers' requests counted as short beside checks of other routes."""
+    mix = RequestMix()
+    for number in range(1000):
+        mix.note(3000 if number % 40 == 0 else 400)
+    assert not mix.is_short(400)
+    assert mix.is_short(120)
+
+
 def test_used_up_cold_limit_refuses_at_once() -> None:
     """A request waited for the limit until its time was over."""
     queue: WorkQueue[int] = WorkQueue()
