Never block on the log, and check and show the mesh node's settings

Cause: the node wrote its lines to standard output with plain writes, so that a collector that stops reading stopped the node and every request on it. Found by reading; test_lines_wait_while_nobody_reads hangs with a plain write.

Change: observe/output.py writes what the pipe takes and keeps at most 256 KB of lines; further lines are dropped and counted in a metric.

--- a/magnoliafork/cli.py
+++ b/magnoliafork/cli.py
@@ -13,7 +13,7 @@
 
 import typer
 
-from magnoliafork.commands import lazy, node, node_settings
+from magnoliafork.commands import lazy, mesh_settings, node, node_settings
 from magnoliafork.commands import story as story_lines
 from magnoliafork.commands.admin_client import AdminTarget
 from magnoliafork.commands.exit_codes import ExitCode
@@ -44,6 +44,9 @@
 NodeCommand = Callable[[AdminTarget, TextIO, TextIO, bool], Awaitable[int]]
 
 Json = Annotated[bool, typer.Option("--json", help="Write JSON.")]
+Mesh = Annotated[
+    bool, typer.Option("--mesh", help="The file is that of a mesh node.")
+]
 Rules = Annotated[
     pathlib.Path, typer.Argument(help="Rules file or built folder.")
 ]
@@ -65,14 +68,22 @@
 
 
 @settings_app.command("check")
-def settings_check(path: SettingsFile, as_json: Json = False) -> None:
+def settings_check(
+    path: SettingsFile, as_json: Json = False, is_mesh: Mesh = False
+) -> None:
     """Reports every error of a settings file and the environment."""
+    if is_mesh:
+        _exit(mesh_settings.check_mesh_settings(path, sys.stdout, as_json))
     _exit(node_settings.check_settings(path, os.environ, sys.stdout, as_json))
 
 
 @settings_app.command("show")
-def settings_show(path: SettingsFile, as_json: Json = False) -> None:
+def settings_show(
+    path: SettingsFile, as_json: Json = False, is_mesh: Mesh = False
+) -> None:
     """Shows every setting and where its value comes from."""
+    if is_mesh:
+        _exit(mesh_settings.show_mesh_settings(path, sys.stdout, as_json))
     _exit(node_settings.show_settings(path, os.environ, sys.stdout, as_json))
 
 
--- a/magnoliafork/mesh/metrics.py
+++ b/magnoliafork/mesh/metrics.py
@@ -36,6 +36,7 @@
         "calls_queued": node.receiver.queued,
         "health_checks_total": node.receiver.health_checks,
         "upstream_connections_total": node.client.connections_opened,
+        "log_lines_dropped_total": node.log.dropped_lines,
         "links_silent_total": node.pool.silent_links,
         "control_sent_bytes_total": node.traffic.control_sent_bytes,
         "control_received_bytes_total": node.traffic.control_received_bytes,
--- a/magnoliafork/mesh/node.py
+++ b/magnoliafork/mesh/node.py
@@ -222,6 +222,7 @@
         self.links.close_silent(now_s)
         self.receiver.tick()
         self.metrics.tick(now_s)
+        self.log.flush()
 
     async def stop(self) -> None:
         """Performs a graceful shutdown within the grace period.
--- a/magnoliafork/observe/logs.py
+++ b/magnoliafork/observe/logs.py
@@ -5,11 +5,12 @@
 import sys
 import time
 from collections.abc import Callable, Mapping
-from typing import TextIO
+from typing import Protocol
 
 from pythonjsonlogger.json import JsonFormatter
 
 from magnoliafork.observe.events import Event
+from magnoliafork.observe.output import LineOutput
 
 LEVELS = {
     "debug": logging.DEBUG,
@@ -42,6 +43,18 @@
     suppressed: int = 0
 
 
+class LogStream(Protocol):
+    """Where lines go: a text file or a `LineOutput`."""
+
+    def write(self, text: str, /) -> int:
+        """Takes one line."""
+        ...
+
+    def flush(self) -> None:
+        """Passes on what was written."""
+        ...
+
+
 class EventLog:
     """Writes events with their fields, one JSON object per line.
 
@@ -52,7 +65,7 @@
     def __init__(
         self,
         level: str = "info",
-        stream: TextIO | None = None,
+        stream: LogStream | None = None,
         clock: Callable[[], float] = time.monotonic,
         burst_lines: int = BURST_LINES,
     ) -> None:
@@ -70,7 +83,8 @@
         # Not in the logging module's registry, so that several nodes in one
         # process keep their own levels and streams.
         self._logger = logging.Logger("magnoliafork")
-        self._logger.addHandler(_handler(stream or sys.stderr))
+        self._stream = stream or sys.stderr
+        self._logger.addHandler(_handler(self._stream))
         self._level = "info"
         self.set_level(level)
 
@@ -87,6 +101,17 @@
         self._logger.setLevel(LEVELS[level])
         return True
 
+    @property
+    def dropped_lines(self) -> int:
+        """Lines that the output could not take."""
+        if isinstance(self._stream, LineOutput):
+            return self._stream.dropped_lines
+        return 0
+
+    def flush(self) -> None:
+        """Passes on lines that still wait; called several times a second."""
+        self._stream.flush()
+
     def debug(self, event: Event, /, **fields: object) -> None:
         """Writes a detail that matters only while searching a fault."""
         self.write(logging.DEBUG, event, fields)
@@ -192,7 +217,7 @@
         return super().format(record)
 
 
-def _handler(stream: TextIO) -> logging.Handler:
+def _handler(stream: LogStream) -> logging.Handler:
     handler = logging.StreamHandler(stream)
     handler.setFormatter(
         _LowerCaseLevelFormatter(
--- a/magnoliafork/platform/daemon.py
+++ b/magnoliafork/platform/daemon.py
@@ -12,6 +12,7 @@
 from magnoliafork.model.result import Err
 from magnoliafork.observe.events import Event
 from magnoliafork.observe.logs import EventLog, capture_library_logs
+from magnoliafork.observe.output import LineOutput
 from magnoliafork.platform.http import PlatformHttp
 from magnoliafork.platform.items import decode_item
 from magnoliafork.platform.store import PlatformStore
@@ -42,7 +43,8 @@
 
 async def run(settings: MeshSettings, path: pathlib.Path) -> int:
     """Runs a node until it is asked to stop; returns the exit code."""
-    log = EventLog(settings.logs.level, sys.stdout, burst_lines=BURST_LINES)
+    output = LineOutput(sys.stdout.fileno())
+    log = EventLog(settings.logs.level, output, burst_lines=BURST_LINES)
     capture_library_logs(log)
     store = PlatformStore(settings.addresses.store)
     node = MeshNode(
