Disturb the links between nodes in the soak

Cause: the soak paused processes but never the links between them, so that a link that carries nothing in one direction was not covered.

Change: each node listens behind a loopback proxy, which delays, resets or silences its links, one or both ways. The node's code is as before.

--- a/magnoliafork/tests/soak/fleet.py
+++ b/magnoliafork/tests/soak/fleet.py
@@ -23,6 +23,7 @@
     configuration,
     server_entry,
 )
+from magnoliafork.tests.soak.proxy import LinkProxy
 
 ROUTES = [["/a/", "safe", "x"], ["/pay/", "unsafe", "y"]]
 START_LIMIT_S = 20.0
@@ -37,6 +38,7 @@
     service: str
     zone: str
     server: ServerStandIn
+    links: LinkProxy
     process: asyncio.subprocess.Process | None = None
     is_paused: bool = False
     is_restarting: bool = False
@@ -46,7 +48,11 @@
     """Starts, disturbs and ends the processes of one run."""
 
     def __init__(self, folder: pathlib.Path, network: str) -> None:
-        """Creates a fleet on addresses `NETWORK.1` to `NETWORK.4`."""
+        """Creates a fleet on addresses `NETWORK.1` to `NETWORK.4`.
+
+        Nodes listen for peers on `NETWORK.101` to `NETWORK.104`, behind a
+        proxy at the address that their peers know.
+        """
         self._folder = folder
         self.store = StoreStandIn()
         self.version = 0
@@ -56,6 +62,11 @@
                 "xy"[number % 2],
                 ("joliette", "rawdon")[number // 2],
                 ServerStandIn(f"{network}.{number + 1}", f"i-{number}", 0.02),
+                LinkProxy(
+                    f"{network}.{number + 1}",
+                    f"{network}.{number + 101}",
+                    PEER_PORT,
+                ),
             )
             for number in range(4)
         ]
@@ -67,6 +78,7 @@
         self.change_configuration()
         for machine in self.machines:
             await machine.server.start()
+            await machine.links.start()
             self.announce(machine, "ready")
             await self.start_node(machine)
         await self.until_serving()
@@ -80,6 +92,7 @@
                 process.kill()
                 await process.wait()
         for machine in self.machines:
+            await machine.links.stop()
             await machine.server.stop()
         await self.store.stop()
 
@@ -107,7 +120,7 @@
             },
             "addresses": {
                 "callers": f"{host}:{CALLER_PORT}",
-                "peers": f"{host}:{PEER_PORT}",
+                "peers": f"{machine.links.node_host}:{PEER_PORT}",
                 "ready": f"{host}:{READY_PORT}",
                 "metrics": f"{host}:{METRICS_PORT}",
                 "upstream": f"{host}:{SERVER_PORT}",
--- a/magnoliafork/tests/soak/run.py
+++ b/magnoliafork/tests/soak/run.py
@@ -106,6 +106,9 @@
                     self._drain,
                     self._take_out,
                     self._lose_answers,
+                    self._reset_links,
+                    self._silence_links,
+                    self._delay_links,
                 ]
             )
             machine = self._rng.choice(self._fleet.machines)
@@ -169,6 +172,18 @@
         await asyncio.sleep(0.3 + self._rng.random())
         machine.server.loses_answers = False
 
+    async def _reset_links(self, machine: Machine) -> None:
+        machine.links.reset()
+
+    async def _silence_links(self, machine: Machine) -> None:
+        way = self._rng.choice(["in", "out", "both"])
+        machine.links.silence(to_node=way != "out", to_peers=way != "in")
+
+    async def _delay_links(self, machine: Machine) -> None:
+        machine.links.delay_s = self._rng.random() * 0.2
+        await asyncio.sleep(0.5 + self._rng.random())
+        machine.links.delay_s = 0.0
+
     @staticmethod
     def _is_up(machine: Machine) -> bool:
         process = machine.process
