Keep signals during the start from ending the process

It was killed and, while its successor loaded its modules, sent SIGHUP, whose default action ends a process. SIGTERM had the same effect between the first listener and the installation of the handlers, and would have cut requests.

Change: `python -m magnoliafork.platform` ignores SIGHUP until the handlers are installed, which now happens before the node listens. Soak faults have their own random choices, so that a seed repeats its faults.

Test: test_settings_signal_during_the_start_does_not_end_the_process; without the change the signal was never ignored.

--- a/magnoliafork/platform/daemon.py
+++ b/magnoliafork/platform/daemon.py
@@ -50,16 +50,17 @@
     node = MeshNode(
         settings, store, decode_item, PlatformHttp(), random.Random(), log
     )
+    # Before the first request can come: a signal would end the process.
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, node.stop_requested.set)
+    loop.add_signal_handler(signal.SIGHUP, reload, path, log)
     try:
         await node.start()
     except OSError as error:
         print(f"cannot listen: {error}", file=sys.stderr)
         await store.close()
         return EXIT_FAILED
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, node.stop_requested.set)
-    loop.add_signal_handler(signal.SIGHUP, reload, path, log)
     await node.stop_requested.wait()
     await node.stop()
     await store.close()
@@ -79,7 +80,3 @@
         return
     log.set_level(loaded.value.logs.level)
     log.info(Event.SETTINGS_RELOADED, level=loaded.value.logs.level)
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- /dev/null
+++ b/magnoliafork/tests/platform/test_daemon.py
@@ -0,0 +1,65 @@
+"""The daemon as a process, before and after its modules are loaded."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+
+from magnoliafork.platform.daemon import EXIT_OK, SETTINGS_VARIABLE
+
+HOST = "127.0.7.9"
+SETTINGS = f"""
+node: {{host: {HOST}, zone: joliette, service: x}}
+addresses:
+  callers: {HOST}:18304
+  peers: {HOST}:18300
+  ready: {HOST}:18302
+  metrics: {HOST}:18320
+  upstream: {HOST}:18301
+  store: {HOST}:18309
+bounds: {{grace_period_s: 1.0}}
+"""
+ROOT = pathlib.Path(__file__).parents[3]
+LIMIT_S = 30.0
+
+
+def ignores_settings_signal(process_id: int) -> bool:
+    status = pathlib.Path(f"/proc/{process_id}/status").read_text("ascii")
+    mask = int(status.partition("SigIgn:")[2].split()[0], 16)
+    return bool(mask >> (signal.SIGHUP - 1) & 1)
+
+
+def test_settings_signal_during_the_start_does_not_end_the_process(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A node that was restarted while its settings changed was gone."""
+    path = tmp_path / "node.yaml"
+    path.write_text(SETTINGS, encoding="utf-8")
+
+    async def test() -> None:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "magnoliafork.platform",
+            cwd=ROOT,
+            env={**os.environ, SETTINGS_VARIABLE: str(path)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+        try:
+            async with asyncio.timeout(LIMIT_S):
+                while not ignores_settings_signal(process.pid):
+                    await asyncio.sleep(0.001)
+                process.send_signal(signal.SIGHUP)
+                assert process.stdout is not None
+                line = await process.stdout.readline()
+                assert b"node_started" in line
+                process.send_signal(signal.SIGTERM)
+                await process.communicate()
+            assert process.returncode == EXIT_OK
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+    asyncio.run(test())
--- a/magnoliafork/tests/soak/fleet.py
+++ b/magnoliafork/tests/soak/fleet.py
@@ -133,7 +133,7 @@
             machine.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "magnoliafork.platform.daemon",
+                "magnoliafork.platform",
                 cwd=ROOT,
                 env={**os.environ, SETTINGS_VARIABLE: str(path)},
                 stdout=log,
--- a/magnoliafork/tests/soak/run.py
+++ b/magnoliafork/tests/soak/run.py
@@ -45,6 +45,8 @@
         """Creates a run; the seed decides all choices."""
         self._fleet = fleet
         self._rng = random.Random(seed)
+        # Apart from the callers, whose number of requests depends on time.
+        self._fault_rng = random.Random(f"faults {seed}")
         self._next_id = 0
         self._unrepeatable: dict[str, int] = {}
         self.findings = Findings()
@@ -94,8 +96,8 @@
         loop = asyncio.get_running_loop()
         tasks: list[asyncio.Task[None]] = []
         while loop.time() < end_s - 1.0:
-            await asyncio.sleep(0.2 + self._rng.random() * 0.6)
-            fault = self._rng.choice(
+            await asyncio.sleep(0.2 + self._fault_rng.random() * 0.6)
+            fault = self._fault_rng.choice(
                 [
                     self._kill,
                     self._stop,
@@ -111,7 +113,7 @@
                     self._delay_links,
                 ]
             )
-            machine = self._rng.choice(self._fleet.machines)
+            machine = self._fault_rng.choice(self._fleet.machines)
             name = fault.__name__.strip("_")
             self.findings.faults.append(f"{name} {machine.host}")
             tasks.append(asyncio.create_task(fault(machine)))
@@ -131,7 +133,7 @@
             return
         machine.is_paused = True
         process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(0.2 + self._rng.random() * 1.5)
+        await asyncio.sleep(0.2 + self._fault_rng.random() * 1.5)
         if process.returncode is None:
             process.send_signal(signal.SIGCONT)
         machine.is_paused = False
@@ -143,45 +145,45 @@
     async def _store_away(self, machine: Machine) -> None:
         del machine
         store = self._fleet.store
-        if self._rng.random() < 0.5:
+        if self._fault_rng.random() < 0.5:
             store.status = 503
         else:
             store.is_silent = True
-        await asyncio.sleep(0.3 + self._rng.random())
+        await asyncio.sleep(0.3 + self._fault_rng.random())
         store.status, store.is_silent = 200, False
 
     async def _configure(self, machine: Machine) -> None:
         del machine
-        for _ in range(self._rng.randint(1, 4)):
+        for _ in range(self._fault_rng.randint(1, 4)):
             self._fleet.change_configuration()
             await asyncio.sleep(0.1)
 
     async def _drain(self, machine: Machine) -> None:
         self._fleet.announce(machine, "draining")
-        await asyncio.sleep(0.5 + self._rng.random())
+        await asyncio.sleep(0.5 + self._fault_rng.random())
         self._fleet.announce(machine, "ready")
 
     async def _take_out(self, machine: Machine) -> None:
         key = f"op/evacuate/{machine.zone}"
         self._fleet.store.put(key, {})
-        await asyncio.sleep(0.5 + self._rng.random())
+        await asyncio.sleep(0.5 + self._fault_rng.random())
         self._fleet.store.remove(key)
 
     async def _lose_answers(self, machine: Machine) -> None:
         machine.server.loses_answers = True
-        await asyncio.sleep(0.3 + self._rng.random())
+        await asyncio.sleep(0.3 + self._fault_rng.random())
         machine.server.loses_answers = False
 
     async def _reset_links(self, machine: Machine) -> None:
         machine.links.reset()
 
     async def _silence_links(self, machine: Machine) -> None:
-        way = self._rng.choice(["in", "out", "both"])
+        way = self._fault_rng.choice(["in", "out", "both"])
         machine.links.silence(to_node=way != "out", to_peers=way != "in")
 
     async def _delay_links(self, machine: Machine) -> None:
-        machine.links.delay_s = self._rng.random() * 0.2
-        await asyncio.sleep(0.5 + self._rng.random())
+        machine.links.delay_s = self._fault_rng.random() * 0.2
+        await asyncio.sleep(0.5 + self._fault_rng.random())
         machine.links.delay_s = 0.0
 
     @staticmethod
