Report how late changes and ticks are

Logs could not tell a configuration that waited on a link from one that waited for the processor: config_applied now has the time since a peer announced the change, and metrics show bytes sent to peers and the longest delay of a tick.

--- a/magnoliafork/mesh/node.py
+++ b/magnoliafork/mesh/node.py
@@ -69,7 +69,11 @@
 
 
 class MeshNode:
-    """Wires, starts and stops the components of one node; runs its tick."""
+    """Wires, starts and stops the components of one node; runs its tick.
+
+    Attributes:
+        longest_tick_delay_s: Longest time by which a tick ran late.
+    """
 
     def __init__(
         self,
@@ -177,6 +181,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self.stop_requested = asyncio.Event()
         self._is_stopping = False
+        self.longest_tick_delay_s = 0.0
         self.view.subscribe(self._log_changes)
 
     def _readiness(self) -> tuple[int, str]:
@@ -212,7 +217,10 @@
     async def _run_ticks(self) -> None:
         while True:
             self.tick()
+            due_s = self._clock() + TICK_S
             await asyncio.sleep(TICK_S)
+            delay_s = self._clock() - due_s
+            self.longest_tick_delay_s = max(self.longest_tick_delay_s, delay_s)
 
     def tick(self) -> None:
         """Runs the periodic work of every component once."""
@@ -307,5 +315,6 @@
                 version=config.version,
                 revision=self.view.config_revision,
                 routes=len(config.routes),
+                lag_ms=int(self.view_sync.lag_s * 1000),
                 zones_out=sorted(self.view.zones_out),
             )
--- a/magnoliafork/mesh/view_sync.py
+++ b/magnoliafork/mesh/view_sync.py
@@ -51,6 +51,11 @@
 
     Implements `ControlHandler`: requests changes from peers that are ahead and
     answers the requests of peers that are behind.
+
+    Attributes:
+        last_store_answer_s: Loop time of the last answer of the store.
+        is_reader: Whether this node reads the store.
+        sent_bytes: Encoded values sent to peers since the start.
     """
 
     def __init__(
@@ -83,6 +88,7 @@
         self._takeover_pending_since_s: float | None = None
         self.last_store_answer_s = float("-inf")
         self.is_reader = False
+        self.sent_bytes = 0
         view.subscribe(lambda _: self.announce())
 
     # Decisions for the store reader.
@@ -90,9 +96,7 @@
     @property
     def is_behind(self) -> bool:
         """Whether this node has lagged behind its peers for too long."""
-        if self._behind_since_s is None:
-            return False
-        return self._clock() - self._behind_since_s > MAX_LAG_S
+        return self.lag_s > MAX_LAG_S
 
     def has_store_access(self, host: str) -> bool:
         """Whether a node's reads of the store succeed, as far as is known."""
@@ -110,6 +114,13 @@
             is_alive and now_s - peer.store_answer_at_s < STORE_ACCESS_TIMEOUT_S
         )
 
+    @property
+    def lag_s(self) -> float:
+        """Time since a peer first announced changes that are missing here."""
+        if self._behind_since_s is None:
+            return 0.0
+        return self._clock() - self._behind_since_s
+
     @property
     def _has_no_live_peer(self) -> bool:
         now_s = self._clock()
@@ -222,7 +233,9 @@
                 self._catch_up(now_s)
             case messages.ViewRequest():
                 delta = self._view.delta_after(message.after_revision)
-                self._links.send(instance_id, _to_reply(delta))
+                reply = _to_reply(delta)
+                self.sent_bytes += sum(len(value) for value in reply.values)
+                self._links.send(instance_id, reply)
             case messages.ViewReply():
                 self._on_reply(instance_id, message)
             case _:
