Deliver configurations as patches over a tree of nodes

Cause: every node of a zone, and half of the nodes of the other zones, fetched each version, whole, from the same two nodes. A version of 2,300 routes has 54 KB deflated, and the readers' links carry 10 Mbit/s. A request was repeated every 0.1 s while its reply waited behind the others, and nodes that lagged behind read the store as well. The same links carry the requests of callers and peers. The class of fault: work that grows with the fleet times the size of the configuration, at one node.

Ruled out: the store (the first node applied each version within 0.35 s); the processor as the main cause: 8 ms to deflate and 25 ms to decode (trial on a whole core), although deflating once for each peer added to it.

Change: nodes of a zone form tiers and follow two nodes of the tier before; a value travels as a patch of the version that the peer has, encoded once; one request is outstanding at a time, and is repeated at another peer. The log of changes is bounded by bytes, since it kept up to 4,096 whole configurations. Nodes of the release before get and send whole values.

--- a/magnoliafork/mesh/metrics.py
+++ b/magnoliafork/mesh/metrics.py
@@ -24,7 +24,7 @@
         "view_revision": node.view.revision,
         "is_reader": int(node.view_sync.is_reader),
         "view_lag_seconds": node.view_sync.lag_s,
-        "view_sent_bytes_total": node.view_sync.sent_bytes,
+        "view_sent_bytes_total": node.view_sync.encoder.sent_bytes,
         "longest_tick_delay_seconds": node.longest_tick_delay_s,
         "requests_total": sender.requests,
         "requests_in_flight": sender.in_flight,
--- a/magnoliafork/mesh/reader_selection.py
+++ b/magnoliafork/mesh/reader_selection.py
@@ -19,9 +19,10 @@
 # Minimum number of readers in the fleet. The loss of power of a reader is
 # detected only after seconds, in which another one has to deliver changes.
 MIN_READERS = 3
-# Minimum number of links to nodes of the own zone: the readers and the nodes
-# that take over from them.
+# Minimum number of links to nodes of the own zone.
 ZONE_LINKS = 2
+# Nodes that each node of a tier delivers changes to, on average.
+TIER_GROWTH = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,27 +96,62 @@
 ) -> tuple[str, ...]:
     """Returns the peers to which this node keeps links.
 
-    Every node has links to the first nodes of its zone. A reader also has a
-    link to the preferred reader of every other zone, another node to that of
-    one other zone, so that changes arrive from two sides.
+    The nodes of a zone form tiers in order of rank: the readers and the nodes
+    that take over first, then tiers that grow by `TIER_GROWTH`. A node has
+    links to nodes of the tier before its own, so that no node delivers the
+    changes to a whole zone over its own network link. A reader also has a link
+    to the preferred reader of every other zone, another node to a node of the
+    same tier in one other zone, so that changes arrive from two sides.
     """
-    ranked = fleet.zones.get(fleet.own_zone, ())
-    zone_links = max(ZONE_LINKS, readers_per_zone(fleet))
-    targets = [h for h in ranked if h != fleet.own_host][:zone_links]
-    others = sorted(set(fleet.zones) - {fleet.own_zone})
+    ranked = fleet.zones.get(fleet.own_zone, (fleet.own_host,))
+    first_tier = max(ZONE_LINKS, readers_per_zone(fleet))
+    start, end = _tier(ranked.index(fleet.own_host), first_tier)
+    others = [
+        zone
+        for zone in sorted(set(fleet.zones) - {fleet.own_zone})
+        if fleet.zones[zone]
+    ]
     zone_readers = [
         _preferred_reader(fleet.zones[zone], has_store_access)
         for zone in others
-        if fleet.zones[zone]
     ]
+    targets = [h for h in ranked[:first_tier] if h != fleet.own_host]
     if is_reader(fleet, has_store_access):
         return (*targets, *zone_readers)
-    if zone_readers:
-        start = zlib.crc32(fleet.own_host.encode()) % len(zone_readers)
-        targets.append(zone_readers[start])
+    if start > first_tier:
+        earlier, _ = _tier(start - 1, first_tier)
+        targets = _closest(fleet.own_host, ranked[earlier:start], ZONE_LINKS)
+    if others:
+        chosen = zlib.crc32(fleet.own_host.encode()) % len(others)
+        same_tier = fleet.zones[others[chosen]][start:end]
+        if start and same_tier:
+            targets += _closest(fleet.own_host, same_tier, 1)
+        else:
+            targets.append(zone_readers[chosen])
     return tuple(targets)
 
 
+def _tier(rank: int, first_tier: int) -> tuple[int, int]:
+    """Returns the first rank of the tier of a rank, and of the next tier.
+
+    >>> _tier(1, 2), _tier(2, 2), _tier(9, 2), _tier(10, 2)
+    ((0, 2), (2, 10), (2, 10), (10, 42))
+    """
+    start, size = 0, first_tier
+    while rank >= start + size:
+        start += size
+        size *= TIER_GROWTH
+    return start, start + size
+
+
+def _closest(own_host: str, hosts: Sequence[str], count: int) -> list[str]:
+    """Returns hosts by rendezvous hash, which changes little with the fleet."""
+    return sorted(
+        hosts,
+        key=lambda host: (zlib.crc32(f"{own_host}/{host}".encode()), host),
+    )[:count]
+
+
 def _preferred_reader(
     ranked: Sequence[str], has_store_access: Callable[[str], bool]
 ) -> str:
--- a/magnoliafork/mesh/view.py
+++ b/magnoliafork/mesh/view.py
@@ -22,6 +22,12 @@
 # Changes kept for peers that lag behind; at fewer than one change per second
 # they cover an hour.
 MAX_LOG_ITEMS = 4096
+# Together with the number of items, bounds the memory of the log.
+MAX_LOG_BYTES = 2 * 1024 * 1024
+# Earlier versions of large values are kept, so that peers can be sent what has
+# changed. Patches of smaller values would save little.
+MIN_HISTORY_VALUE_BYTES = 4096
+MAX_HISTORY_VALUES = 8
 
 Decode = Callable[[StoredItem], DecodedItem | None]
 
@@ -67,10 +73,10 @@
         self._decode = decode
         self._items: dict[str, StoredItem] = {}
         self._decoded: dict[str, DecodedItem] = {}
-        self._log: collections.deque[StoredItem] = collections.deque(
-            maxlen=MAX_LOG_ITEMS
-        )
+        self._log: collections.deque[StoredItem] = collections.deque()
         self._log_base = 0
+        self._log_bytes = 0
+        self._history: dict[str, collections.deque[StoredItem]] = {}
         self.revision = 0
         self.change_count = 0
         self.config: MeshConfig | None = None
@@ -117,6 +123,7 @@
         if delta.base_revision == 0:
             changes = self._replace(delta.items)
             self._log.clear()
+            self._log_bytes = 0
             self._log_base = delta.revision
         else:
             changes = self._merge(delta.items)
@@ -133,17 +140,27 @@
 
         If the log does not reach back that far, returns the whole state.
         """
-        oldest = self._log[0].revision - 1 if self._is_log_full() else 0
-        oldest = max(oldest, self._log_base)
-        if revision and revision >= oldest:
+        if revision and revision >= self._log_base:
             newest = {
                 item.key: item for item in self._log if item.revision > revision
             }
             return ViewDelta(revision, self.revision, tuple(newest.values()))
         return ViewDelta(0, self.revision, tuple(self._items.values()))
 
-    def _is_log_full(self) -> bool:
-        return len(self._log) == MAX_LOG_ITEMS
+    def value_at(self, key: str, revision: int) -> StoredItem | None:
+        """Returns a large item as it was at a revision, if that is kept."""
+        for item in reversed(self._history.get(key, ())):
+            if item.revision <= revision:
+                return item
+        return None
+
+    def _add_to_log(self, item: StoredItem) -> None:
+        self._log.append(item)
+        self._log_bytes += len(item.value)
+        while len(self._log) > MAX_LOG_ITEMS or self._log_bytes > MAX_LOG_BYTES:
+            dropped = self._log.popleft()
+            self._log_bytes -= len(dropped.value)
+            self._log_base = max(self._log_base, dropped.revision)
 
     def _merge(self, items: Iterable[StoredItem]) -> list[Change]:
         changes = []
@@ -153,7 +170,7 @@
                 continue
             if current is not None and current.revision >= item.revision:
                 continue
-            self._log.append(item)
+            self._add_to_log(item)
             changes.append(self._set(item))
         return changes
 
@@ -175,13 +192,23 @@
         after = None
         if item.value:
             self._items[item.key] = item
+            self._add_to_history(item)
             after = self._decode(item)
         else:
             self._items.pop(item.key, None)
+            self._history.pop(item.key, None)
         if after is not None:
             self._decoded[item.key] = after
         return Change(item.key, item.revision, before, after)
 
+    def _add_to_history(self, item: StoredItem) -> None:
+        if len(item.value) >= MIN_HISTORY_VALUE_BYTES:
+            self._history.setdefault(
+                item.key, collections.deque(maxlen=MAX_HISTORY_VALUES)
+            ).append(item)
+        else:
+            self._history.pop(item.key, None)
+
     def _rebuild_indexes(self) -> None:
         self._upstreams = {
             decoded.upstream_id: decoded
--- a/magnoliafork/mesh/view_sync.py
+++ b/magnoliafork/mesh/view_sync.py
@@ -1,13 +1,12 @@
 """Propagates the published state between nodes."""
 
 import dataclasses
-import zlib
 from collections.abc import Callable
 
 from magnoliafork.mesh import reader_selection
-from magnoliafork.mesh.model import StoredItem
 from magnoliafork.mesh.upstream_table import UpstreamTable
-from magnoliafork.mesh.view import MeshView, ViewDelta
+from magnoliafork.mesh.view import MeshView
+from magnoliafork.mesh.view_codec import ViewEncoder, decode_reply
 from magnoliafork.observe.events import Event
 from magnoliafork.observe.logs import EventLog
 from magnoliafork.wire import messages
@@ -30,8 +29,9 @@
 # known of too few readers for this long; a new process receives the
 # announcements of the readers within this time.
 TAKEOVER_DELAY_S = ANNOUNCE_INTERVAL_S + 0.2
-# Minimum time between two requests for missing changes.
-MIN_REQUEST_INTERVAL_S = 0.1
+# Time after which a request for missing changes is repeated at another peer.
+# A reply of the whole state takes most of it on the slowest links, of 5 Mbit/s.
+REQUEST_TIMEOUT_S = 0.4
 # Announced age of the last store answer if a node does not read the store or
 # its reads fail.
 NO_STORE_ACCESS_MS = 3_600_000
@@ -55,7 +55,7 @@
     Attributes:
         last_store_answer_s: Loop time of the last answer of the store.
         is_reader: Whether this node reads the store.
-        sent_bytes: Encoded values sent to peers since the start.
+        encoder: Encodes the replies to peers.
     """
 
     def __init__(
@@ -84,11 +84,12 @@
         self._announced_at_s = float("-inf")
         self._behind_since_s: float | None = None
         self._requested_at_s = float("-inf")
+        self._requested_from = ""
         self._bootstrap_peers: set[str] = set()
         self._takeover_pending_since_s: float | None = None
         self.last_store_answer_s = float("-inf")
         self.is_reader = False
-        self.sent_bytes = 0
+        self.encoder = ViewEncoder(view)
         view.subscribe(lambda _: self.announce())
 
     # Decisions for the store reader.
@@ -217,6 +218,8 @@
     def on_link_down(self, instance_id: str) -> None:
         """Forgets a neighbour."""
         self._peers.pop(instance_id, None)
+        if instance_id == self._requested_from:
+            self._requested_from = ""
 
     def on_control(
         self, instance_id: str, message: messages.ControlMessage
@@ -232,26 +235,35 @@
                 self._table.record_outage_end(message.outage_ended_ms / 1000)
                 self._catch_up(now_s)
             case messages.ViewRequest():
-                delta = self._view.delta_after(message.after_revision)
-                reply = _to_reply(delta)
-                self.sent_bytes += sum(len(value) for value in reply.values)
-                self._links.send(instance_id, reply)
+                self._links.send(instance_id, self.encoder.reply(message))
             case messages.ViewReply():
                 self._on_reply(instance_id, message)
             case _:
                 pass
 
     def _on_reply(self, host: str, reply: messages.ViewReply) -> None:
-        delta = _from_reply(reply)
+        if host == self._requested_from:
+            self._requested_from = ""
+        delta = decode_reply(reply, self._view)
         if isinstance(delta, str):
             self._log.warning(
                 Event.PEER_FRAME_MALFORMED, peer=host, detail=delta
             )
+            if reply.patched_revisions:
+                self._request(host, self._view.revision, accepts_patches=False)
             return
         if not self._view.apply(delta):
-            self._links.send(host, messages.ViewRequest(0))
+            self._request(host, 0, accepts_patches=False)
         self._catch_up(self._clock())
 
+    def _request(
+        self, host: str, after_revision: int, *, accepts_patches: bool
+    ) -> None:
+        request = messages.ViewRequest(after_revision, accepts_patches)
+        if self._links.send(host, request):
+            self._requested_at_s = self._clock()
+            self._requested_from = host
+
     def _catch_up(self, now_s: float) -> None:
         """Requests the missing changes from a peer that is ahead."""
         ahead = {
@@ -264,52 +276,18 @@
             return
         if self._behind_since_s is None:
             self._behind_since_s = now_s
-        behind_s = now_s - self._behind_since_s
-        same_zone = [h for h in ahead if h in self._zone_hosts()]
-        chosen: str | None = None
-        if same_zone:
-            chosen = max(same_zone, key=lambda host: ahead[host].revision)
-        elif behind_s >= OTHER_ZONE_DELAY_S:
-            chosen = max(ahead, key=lambda host: ahead[host].revision)
-        # A reply takes a round trip; a request repeated before would fetch it
-        # twice.
-        if (
-            chosen is None
-            or now_s - self._requested_at_s < MIN_REQUEST_INTERVAL_S
-        ):
+        is_waiting = bool(self._requested_from)
+        if is_waiting and now_s - self._requested_at_s < REQUEST_TIMEOUT_S:
             return
-        self._requested_at_s = now_s
-        self._links.send(chosen, messages.ViewRequest(self._view.revision))
+        candidates = [h for h in ahead if h in self._zone_hosts()]
+        if now_s - self._behind_since_s >= OTHER_ZONE_DELAY_S:
+            candidates = candidates or list(ahead)
+        if is_waiting:
+            others = [h for h in ahead if h != self._requested_from]
+            candidates = others or candidates
+        if candidates:
+            chosen = max(candidates, key=lambda host: ahead[host].revision)
+            self._request(chosen, self._view.revision, accepts_patches=True)
 
     def _zone_hosts(self) -> set[str]:
         return set(self._fleet.zones.get(self._own_zone, ()))
-
-
-def _to_reply(delta: ViewDelta) -> messages.ViewReply:
-    return messages.ViewReply(
-        delta.base_revision,
-        delta.revision,
-        tuple(item.key for item in delta.items),
-        tuple(item.revision for item in delta.items),
-        tuple(
-            zlib.compress(item.value) if item.value else b""
-            for item in delta.items
-        ),
-    )
-
-
-def _from_reply(reply: messages.ViewReply) -> ViewDelta | str:
-    """Returns the delta of a message, or why it is malformed."""
-    counts = {len(reply.keys), len(reply.revisions), len(reply.values)}
-    if len(counts) != 1:
-        return "keys, revisions and values differ in number"
-    try:
-        items = tuple(
-            StoredItem(key, revision, zlib.decompress(value) if value else b"")
-            for key, revision, value in zip(
-                reply.keys, reply.revisions, reply.values, strict=True
-            )
-        )
-    except zlib.error as error:
-        return f"value cannot be inflated: {error}"
-    return ViewDelta(reply.base_revision, reply.revision, items)
--- a/magnoliafork/tests/mesh/builders.py
+++ b/magnoliafork/tests/mesh/builders.py
@@ -24,9 +24,13 @@
 
     def item(self, key: str, revision: int, fact: DecodedItem) -> StoredItem:
         value = f"{key}@{revision}".encode()
-        self._facts[value] = fact
+        self.add(value, fact)
         return StoredItem(key, revision, value)
 
+    def add(self, value: bytes, fact: DecodedItem) -> None:
+        """Makes `decode` return a fact for a value."""
+        self._facts[value] = fact
+
     def decode(self, item: StoredItem) -> DecodedItem | None:
         return self._facts.get(item.value)
 
--- /dev/null
+++ b/magnoliafork/tests/mesh/test_view_codec.py
@@ -0,0 +1,108 @@
+"""Changes sent as patches give the same view as whole values."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from magnoliafork.mesh.model import StoredItem
+from magnoliafork.mesh.value_patch import apply_patch, make_patch
+from magnoliafork.mesh.view import (
+    MAX_HISTORY_VALUES,
+    MAX_LOG_BYTES,
+    MeshView,
+    ViewDelta,
+)
+from magnoliafork.mesh.view_codec import ViewEncoder, decode_reply
+from magnoliafork.wire import messages
+
+ROWS = st.lists(st.sampled_from([b"[1],", b"[2],", b"[3],", b"x", b"],"]))
+
+
+@given(ROWS, ROWS)
+def test_patch_turns_one_value_into_the_other(
+    before: list[bytes], after: list[bytes]
+) -> None:
+    old, new = b"".join(before), b"".join(after)
+    assert apply_patch(old, make_patch(old, new)) == new
+
+
+@given(st.binary(max_size=64))
+def test_bytes_that_are_no_patch_are_not_applied(patch: bytes) -> None:
+    """A damaged patch must not become a configuration."""
+    assert apply_patch(b"[1],[2]", patch) in (None, b"")
+
+
+def value(version: int, rows: int = 2000) -> bytes:
+    rng = random.Random(1)
+    names = [f"[{rng.getrandbits(64):x}]," for _ in range(rows)]
+    names[version % rows] = f"[v{version}],"
+    return "".join(names).encode()
+
+
+def follower_of(view: MeshView) -> MeshView:
+    follower = MeshView(lambda _: None)
+    follower.apply(view.delta_after(0))
+    return follower
+
+
+def view_with_versions(count: int) -> MeshView:
+    view = MeshView(lambda _: None)
+    view.apply(ViewDelta(0, 1, (StoredItem("config", 1, value(1)),)))
+    for version in range(2, count + 1):
+        put(view, version)
+    return view
+
+
+def put(view: MeshView, version: int) -> None:
+    item = StoredItem("config", version, value(version))
+    view.apply(ViewDelta(version - 1, version, (item,)))
+
+
+def request(after: int, accepts_patches: bool = True) -> messages.ViewRequest:
+    return messages.ViewRequest(after, accepts_patches)
+
+
+def test_follower_takes_a_small_patch_of_a_large_value() -> None:
+    view = view_with_versions(1)
+    follower = follower_of(view)
+    put(view, 2)
+    reply = ViewEncoder(view).reply(request(1))
+    assert len(reply.values[0]) < 300
+    delta = decode_reply(reply, follower)
+    assert isinstance(delta, ViewDelta)
+    assert delta.items[0].value == value(2)
+
+
+def test_peer_that_does_not_accept_patches_gets_whole_values() -> None:
+    """Nodes of the release before ignore the field that marks a patch."""
+    view = view_with_versions(2)
+    reply = ViewEncoder(view).reply(request(1, accepts_patches=False))
+    assert reply.patched_revisions == ()
+    delta = decode_reply(reply, MeshView(lambda _: None))
+    assert isinstance(delta, ViewDelta)
+    assert delta.items[0].value == value(2)
+
+
+def test_patch_of_a_value_that_is_not_kept_is_refused() -> None:
+    """The patch must not be applied to another version."""
+    view = view_with_versions(2)
+    reply = ViewEncoder(view).reply(request(1))
+    assert reply.patched_revisions == (1,)
+    other = MeshView(lambda _: None)
+    assert isinstance(decode_reply(reply, other), str)
+
+
+def test_follower_far_behind_gets_the_whole_value() -> None:
+    view = view_with_versions(MAX_HISTORY_VALUES + 3)
+    reply = ViewEncoder(view).reply(request(1))
+    assert reply.patched_revisions == ()
+
+
+def test_many_large_configurations_keep_the_log_bounded() -> None:
+    """4,096 versions of 200 KB exceeded the memory of a machine."""
+    view = view_with_versions(120)
+    kept = view.delta_after(view._log_base)
+    assert view._log_bytes <= MAX_LOG_BYTES
+    assert kept.base_revision == view._log_base
+    assert view.delta_after(view._log_base - 1).base_revision == 0
--- a/magnoliafork/wire/messages.py
+++ b/magnoliafork/wire/messages.py
@@ -261,9 +261,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ViewRequest:
-    """Asks for everything that changed after a revision; 0 asks for all."""
+    """Asks for everything that changed after a revision; 0 asks for all.
+
+    Attributes:
+        after_revision: Revision that the view of the sender has reached.
+        accepts_patches: Whether the reply may contain patches.
+    """
 
     after_revision: int
+    accepts_patches: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -276,7 +282,9 @@
         revision: Revision of the state once the changes are applied.
         keys: Keys of the changed items.
         revisions: Revision of each item.
-        values: Deflated value of each item; empty when it was removed.
+        values: Deflated value or patch of each item; empty when it was removed.
+        patched_revisions: For each item the revision of the value that its
+            patch applies to, or 0 if the value is whole; empty if all are.
     """
 
     base_revision: int
@@ -284,6 +292,7 @@
     keys: tuple[str, ...]
     revisions: tuple[int, ...]
     values: tuple[bytes, ...]
+    patched_revisions: tuple[int, ...] = ()
 
 
 CallReply = CallAnswer | CallRefused | CallUnknown
--- a/magnoliafork/wire/peer.thrift
+++ b/magnoliafork/wire/peer.thrift
@@ -156,6 +156,7 @@
 
 struct ViewRequest {
     1: i64 after_revision
+    2: bool accepts_patches
 }
 
 struct ViewReply {
@@ -164,4 +165,5 @@
     3: list<string> keys
     4: list<i64> revisions
     5: list<binary> values
+    6: list<i64> patched_revisions
 }
