Ignore a Keep-Alive timeout that is no number

Callers saw: nothing. The exchange ended with an exception, and the call of the peer had no reply.

Cause: `str.isdigit` is true for some characters beyond ASCII, such as a superscript two, which a header may contain; `float` refuses them.

Ruled out: the library, which rightly allows such bytes in a value. Long numbers do not fail, `float` returns infinity for them.

Change: only ASCII digits count as a number.

Before: test_keep_alive_that_is_no_number_is_ignored ValueError: could not convert string to float: '²' After: 17 passed in test_http_exchange.

--- a/magnoliafork/mesh/http_exchange.py
+++ b/magnoliafork/mesh/http_exchange.py
@@ -290,6 +290,8 @@
             continue
         for option in value.split(","):
             key, _, number = option.strip().partition("=")
-            if key.lower() == "timeout" and number.isdigit():
+            # Some characters beyond ASCII are digits but no numbers.
+            is_number = number.isascii() and number.isdigit()
+            if key.lower() == "timeout" and is_number:
                 return float(number)
     return None
--- a/magnoliafork/tests/mesh/test_http_exchange.py
+++ b/magnoliafork/tests/mesh/test_http_exchange.py
@@ -308,3 +308,16 @@
         return ended.is_set()
 
     assert asyncio.run(cancelled())
+
+
+def test_keep_alive_that_is_no_number_is_ignored() -> None:
+    """An exception would leave the caller without a reply."""
+
+    async def state_timeout(
+        writer: asyncio.StreamWriter, attempt: str, _: int
+    ) -> None:
+        head = "Keep-Alive: timeout=\u00b2\r\n"
+        writer.write(answer(attempt, head=head).decode().encode("latin-1"))
+
+    results, _ = run(state_timeout)
+    assert isinstance(results[0], UpstreamAnswered)
