Read the bodies of answers without the library

Callers saw: one answer could stop the node for seconds, so that readiness checks and peers' probes failed. A line of 50 kB that is no header went whole into the detail of a log line. The answer to a CONNECT stopped the node for good.

Cause: the library's expressions for a header line, a trailer and a chunk line take time that grows with the square of the blanks in a line that does not match. After the answer to CONNECT the library pauses, and the loop around it asked again without waiting.

Ruled out: the status line and lists of lengths, whose time grew with their length (8,000 bytes: 3 ms and less). Lines without a character that no head contains match at once.

Change: the node finds the end of a head itself, refuses heads with characters that no head contains or with more than 1000 lines, and only then has the library check and parse them. It reads bodies and chunks itself; trailers are checked as heads are. Details have at most 160 characters. The new tests of chunks, HEAD, interim and last answers also pass on the code before, apart from those named here.

--- a/magnoliafork/mesh/http_exchange.py
+++ b/magnoliafork/mesh/http_exchange.py
@@ -3,11 +3,12 @@
 The HTTP client library matches answers to requests by their order. An upstream
 may send an answer that belongs to an earlier request, so answers must be
 matched by the id that they echo. The node therefore manages the connections
-itself and uses a library only to parse the messages.
+itself and uses a library only to check and parse the heads.
 """
 
 import asyncio
 import dataclasses
+import re
 from collections.abc import Callable
 from typing import cast
 
@@ -16,10 +17,22 @@
 from magnoliafork.model.request import Headers
 
 MAX_ANSWER_HEADER_BYTES = 65_536
+# The library takes about 2 µs for a line, and it parses a head in one turn of
+# the loop.
+MAX_ANSWER_HEADER_LINES = 1000
 # Larger answers do not fit into one frame between nodes.
 MAX_ANSWER_BODY_BYTES = 1_900_000
 # Most answers to earlier requests that are skipped while one answer is awaited.
 MAX_SKIPPED_ANSWERS = 4
+MAX_CHUNK_LINE_BYTES = 4096
+MAX_DETAIL_CHARS = 160
+_HEAD_END = re.compile(rb"(?:\A|\n)\r?\n")
+# Characters that no head contains. The library's time for a line with one of
+# them grows with the square of the blanks in the line.
+_NOT_IN_HEAD = re.compile(rb"[\x00\x0b\x0c]|\r(?!\n)")
+_CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,16}")
+_STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
+_STATUSES_WITHOUT_BODY = (204, 304)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,6 +72,18 @@
 AnswerMatcher = Callable[[HttpAnswer], bool]
 
 
+class _NoAnswerError(Exception):
+    """What was read is not a complete answer, or is over a limit.
+
+    Attributes:
+        is_malformed: Whether the bytes that arrived are not a valid answer.
+    """
+
+    def __init__(self, detail: str, is_malformed: bool = True) -> None:
+        super().__init__(detail[:MAX_DETAIL_CHARS])
+        self.is_malformed = is_malformed
+
+
 class HttpConnection(asyncio.Protocol):
     """One connection to the upstream with one request at a time."""
 
@@ -67,6 +92,7 @@
         self._loop = loop
         self._transport: asyncio.Transport | None = None
         self._received = bytearray()
+        self._exchange_bytes = 0
         self._is_at_end = False
         self._error = ""
         self._waiter: asyncio.Future[None] | None = None
@@ -143,16 +169,11 @@
         """
         request = _request(method, target, headers, body)
         self._is_busy = True
+        self._exchange_bytes = 0
         try:
             assert self._transport is not None
             self._transport.write(_encode(request, body))
-            for _ in range(MAX_SKIPPED_ANSWERS):
-                answer = await self._read_answer(method)
-                if isinstance(answer, HttpFailure) or matches(answer):
-                    return self._finish(answer)
-            return self._finish(
-                HttpFailure("too many answers to other requests", True, True)
-            )
+            return self._finish(await self._read_matching(method, matches))
         except asyncio.CancelledError:
             self.close()
             raise
@@ -172,60 +193,148 @@
         self.idle_limit_s = result.keep_alive_s
         return result
 
-    async def _read_answer(self, method: str) -> HttpAnswer | HttpFailure:
-        parser = _parser(method)
-        has_begun = False
-        response: h11.Response | None = None
+    async def _read_matching(
+        self, method: str, matches: AnswerMatcher
+    ) -> HttpAnswer | HttpFailure:
+        """Reads answers until one matches; interim answers match no request."""
+        before_bytes = 0
+        skipped = 0
+        try:
+            while skipped < MAX_SKIPPED_ANSWERS:
+                answer = await self._read_answer(method)
+                if answer is not None and matches(answer):
+                    return answer
+                if answer is not None:
+                    before_bytes = self._exchange_bytes
+                    skipped += 1
+            raise _NoAnswerError("too many answers to other requests")
+        except _NoAnswerError as error:
+            has_begun = (
+                bool(self._received) or self._exchange_bytes > before_bytes
+            )
+            return HttpFailure(str(error), has_begun, error.is_malformed)
+
+    async def _read_answer(self, method: str) -> HttpAnswer | None:
+        """Reads the next answer; returns None if it is an interim one."""
+        head = await self._read_head()
+        parser, response = _parse_head(method, head)
+        if isinstance(response, h11.InformationalResponse):
+            return None
+        length = _declared_length(method, response)
         body = bytearray()
+        if _has_chunks(method, response):
+            await self._read_chunks(body)
+        elif length is not None:
+            await self._read_body(body, length)
+        else:
+            await self._read_until_end(body)
+        is_framed = length is not None or _has_chunks(method, response)
+        # A client that must close is told so by the parser.
+        is_reusable = is_framed and parser.our_state is h11.DONE
+        return _answer(response, bytes(body), is_reusable)
+
+    async def _read_head(self) -> bytes:
+        """Reads up to the first empty line, which may be the first line."""
+        searched = 0
         while True:
-            try:
-                event = parser.next_event()
-            except h11.RemoteProtocolError as error:
-                # A connection that ends before any byte is not malformed.
-                is_malformed = has_begun and not self._is_at_end
-                return HttpFailure(str(error), has_begun, is_malformed)
-            if event is h11.NEED_DATA:
-                if await self._feed(parser):
-                    has_begun = True
-                elif self._error:
-                    return HttpFailure(self._error, has_begun)
-            elif isinstance(event, h11.Response):
-                response = event
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > MAX_ANSWER_BODY_BYTES:
-                    return HttpFailure("answer too large", True)
-            elif isinstance(event, h11.ConnectionClosed):
-                return HttpFailure("closed without an answer", has_begun)
-            elif isinstance(event, h11.EndOfMessage):
-                assert response is not None
-                self._received = bytearray(parser.trailing_data[0])
-                return _answer(response, bytes(body), parser)
-
-    async def _feed(self, parser: h11.Connection) -> bool:
-        """Passes the next bytes to the parser; returns false at the end."""
-        if not self._received and not self._is_at_end:
+            found = _HEAD_END.search(self._received, max(0, searched - 2))
+            end = found.end() if found else len(self._received)
+            if end > MAX_ANSWER_HEADER_BYTES:
+                raise _NoAnswerError(
+                    f"head over {MAX_ANSWER_HEADER_BYTES} bytes"
+                )
+            if found:
+                return self._take(end)
+            searched = end
+            await self._need_more()
+
+    async def _read_line(self) -> bytes:
+        """Reads one line of the framing of chunks."""
+        while True:
+            end = self._received.find(b"\n", 0, MAX_CHUNK_LINE_BYTES) + 1
+            if end:
+                return self._take(end)
+            if len(self._received) >= MAX_CHUNK_LINE_BYTES:
+                raise _NoAnswerError(
+                    f"chunk line over {MAX_CHUNK_LINE_BYTES} bytes"
+                )
+            await self._need_more()
+
+    async def _read_chunks(self, body: bytearray) -> None:
+        while True:
+            line = await self._read_line()
+            digits = line.removesuffix(b"\r\n").partition(b";")[0]
+            digits = digits.rstrip(b" \t")
+            if not line.endswith(b"\r\n") or not _CHUNK_SIZE.fullmatch(digits):
+                raise _NoAnswerError(f"no chunk size: {line!r}")
+            size = int(digits, 16)
+            if size == 0:
+                break
+            await self._read_body(body, size)
+            line = await self._read_line()
+            if line != b"\r\n":
+                raise _NoAnswerError(f"no end of a chunk: {line!r}")
+        # Trailers have the form of headers and are checked like them.
+        _parse_head("GET", _STATUS_LINE + await self._read_head())
+
+    async def _read_body(self, body: bytearray, length: int) -> None:
+        """Appends bytes of a declared length."""
+        while length:
+            if not self._received:
+                await self._need_more()
+            piece = self._take(min(length, len(self._received)))
+            body += piece
+            length -= len(piece)
+            if len(body) > MAX_ANSWER_BODY_BYTES:
+                raise _NoAnswerError("answer too large")
+
+    async def _read_until_end(self, body: bytearray) -> None:
+        """Appends all bytes until the upstream ends the connection."""
+        while self._received or await self._has_more():
+            body += self._take(len(self._received))
+            if len(body) > MAX_ANSWER_BODY_BYTES:
+                raise _NoAnswerError("answer too large")
+
+    def _take(self, count: int) -> bytes:
+        """Removes the next bytes from those that wait for the parser."""
+        self._exchange_bytes += count
+        taken = bytes(self._received[:count])
+        del self._received[:count]
+        return taken
+
+    async def _need_more(self) -> None:
+        """Waits for more bytes, without which the answer is incomplete."""
+        if not await self._has_more():
+            raise _NoAnswerError(
+                "closed without a complete answer", is_malformed=False
+            )
+
+    async def _has_more(self) -> bool:
+        """Waits for more bytes; returns false at the orderly end."""
+        known = len(self._received)
+        if not self._is_at_end:
             self._waiter = self._loop.create_future()
             try:
                 await self._waiter
             finally:
                 self._waiter = None
-        data = bytes(self._received)
-        self._received.clear()
-        if data:
-            parser.receive_data(data)
-            return True
-        if not self._error:
-            parser.receive_data(b"")
-        return False
+        if len(self._received) == known and self._error:
+            raise _NoAnswerError(self._error, is_malformed=False)
+        return len(self._received) > known
 
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
 
-def _parser(method: str) -> h11.Connection:
-    """Returns a parser for the answer to one request."""
+def _parse_head(
+    method: str, head: bytes
+) -> tuple[h11.Connection, h11.Response | h11.InformationalResponse]:
+    """Returns the parser of a head and what it has found."""
+    if head.count(b"\n") > MAX_ANSWER_HEADER_LINES:
+        raise _NoAnswerError(f"head over {MAX_ANSWER_HEADER_LINES} lines")
+    if _NOT_IN_HEAD.search(head):
+        raise _NoAnswerError("control characters in a head")
     parser = h11.Connection(
         h11.CLIENT, max_incomplete_event_size=MAX_ANSWER_HEADER_BYTES
     )
@@ -234,7 +343,36 @@
         h11.Request(method=method, target="/", headers=[("Host", "upstream")])
     )
     parser.send(h11.EndOfMessage())
-    return parser
+    parser.receive_data(head)
+    try:
+        event = parser.next_event()
+    except h11.RemoteProtocolError as error:
+        raise _NoAnswerError(str(error)) from error
+    if not isinstance(event, h11.Response | h11.InformationalResponse):
+        raise _NoAnswerError("incomplete head")
+    return parser, event
+
+
+def _has_body(method: str, response: h11.Response) -> bool:
+    return (
+        method != "HEAD" and response.status_code not in _STATUSES_WITHOUT_BODY
+    )
+
+
+def _has_chunks(method: str, response: h11.Response) -> bool:
+    # The parser refuses all transfer encodings but chunks.
+    return _has_body(method, response) and any(
+        name == b"transfer-encoding" for name, _ in response.headers
+    )
+
+
+def _declared_length(method: str, response: h11.Response) -> int | None:
+    if not _has_body(method, response):
+        return 0
+    for name, value in response.headers:
+        if name == b"content-length":
+            return int(value)
+    return None
 
 
 def _request(
@@ -264,7 +402,7 @@
 
 
 def _answer(
-    response: h11.Response, body: bytes, parser: h11.Connection
+    response: h11.Response, body: bytes, is_reusable: bool
 ) -> HttpAnswer:
     headers = tuple(
         (name.decode("latin-1"), value.decode("latin-1"))
@@ -274,7 +412,7 @@
         status=response.status_code,
         headers=headers,
         body=body,
-        is_reusable=parser.their_state is h11.DONE,
+        is_reusable=is_reusable,
         keep_alive_s=_keep_alive_s(headers),
     )
 
--- a/magnoliafork/tests/mesh/test_http_exchange.py
+++ b/magnoliafork/tests/mesh/test_http_exchange.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import socket
 import struct
-from collections.abc import Awaitable, Callable
+import threading
+import time
+from collections.abc import Awaitable, Callable, Iterator
 
 import pytest
 
@@ -21,6 +24,16 @@
 
 Respond = Callable[[asyncio.StreamWriter, str, int], Awaitable[None]]
 
+# Longest time that a consumer waits; a bound has to end a request before it.
+DEADLINE_S = 5.0
+# Requests that run at a time on one upstream.
+CONCURRENT_REQUESTS = 12
+# Processor time of one turn of the loop. Peers' probes have to be answered
+# within 0.7 s, which takes up to 7 turns, on under half of a core.
+MAX_TURN_S = 0.05
+# An upstream whose peer has not closed after this much counts as not closed.
+MAX_SENT_BYTES = 64 * 1024 * 1024
+
 
 def answer(attempt_id: str, body: str = "hello", head: str = "") -> bytes:
     return (
@@ -158,6 +171,91 @@
     assert isinstance(results[0], UpstreamUnknown)
 
 
+_CHUNKED_ANSWER = (
+    f"HTTP/1.1 200 OK\r\n{names.ATTEMPT_ID}: ID\r\n{names.SEAL}: s\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n"
+    "5;ext=1\r\nhello\r\nc \r\n, all of you\r\n0\r\nA: b\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize("piece_bytes", [1, 7, 1000])
+def test_chunks_are_joined_however_they_arrive(piece_bytes: int) -> None:
+    async def chunks(
+        writer: asyncio.StreamWriter, attempt: str, _: int
+    ) -> None:
+        whole = _CHUNKED_ANSWER.replace("ID", attempt).encode()
+        for start in range(0, len(whole), piece_bytes):
+            writer.write(whole[start : start + piece_bytes])
+            await asyncio.sleep(0)
+
+    results, upstream = run(chunks, count=2)
+    assert [getattr(r, "body", b"") for r in results] == [
+        b"hello, all of you"
+    ] * 2
+    assert upstream.connections == 1
+
+
+@pytest.mark.parametrize(
+    ("good", "bad"),
+    [
+        ("5;ext=1", "x"),
+        ("5;ext=1", ""),
+        ("5;ext=1", "-5"),
+        ("5;ext=1", "5\n"),
+        ("5;ext=1", "5\r"),
+        ("hello\r\n", "hello!\r\n"),
+        ("hello\r\n", "hello\n"),
+        ("A: b", "no trailer"),
+        ("chunked", "gzip"),
+    ],
+)
+def test_malformed_chunks_have_an_unknown_outcome(good: str, bad: str) -> None:
+    async def chunks(
+        writer: asyncio.StreamWriter, attempt: str, _: int
+    ) -> None:
+        whole = _CHUNKED_ANSWER.replace("ID", attempt)
+        writer.write(whole.replace(good, bad, 1).encode())
+
+    results, _ = run(chunks)
+    assert isinstance(results[0], UpstreamUnknown)
+    assert not results[0].is_connection_lost
+
+
+@pytest.mark.parametrize(
+    ("good", "bad"),
+    [("HTTP/1.1", "HTTP/1.0"), ("Content-L", "Connection: Close\r\nContent-L")],
+)
+def test_connection_of_a_last_answer_is_not_reused(good: str, bad: str) -> None:
+    async def last(writer: asyncio.StreamWriter, attempt: str, _: int) -> None:
+        writer.write(answer(attempt).decode().replace(good, bad, 1).encode())
+
+    results, upstream = run(last, count=2)
+    assert all(isinstance(r, UpstreamAnswered) for r in results)
+    assert upstream.connections == 2
+
+
+def test_answer_to_head_has_a_length_but_no_body() -> None:
+    async def head(writer: asyncio.StreamWriter, attempt: str, _: int) -> None:
+        whole = answer(attempt, head="X: y\r\n").decode()
+        whole = whole.replace("Length: 5", "Length: 5000000")
+        writer.write(whole.removesuffix("hello").encode())
+
+    results, upstream = run(head, count=2, method="HEAD")
+    assert all(isinstance(r, UpstreamAnswered) for r in results)
+    assert upstream.connections == 1
+
+
+def test_interim_answer_precedes_the_answer() -> None:
+    async def interim(
+        writer: asyncio.StreamWriter, attempt: str, _: int
+    ) -> None:
+        writer.write(b"HTTP/1.1 103 Hints\r\nA: b\r\n\r\n" + answer(attempt))
+
+    results, _ = run(interim)
+    assert isinstance(results[0], UpstreamAnswered)
+    assert results[0].body == b"hello"
+
+
 def test_truncated_answer_is_not_complete() -> None:
     async def truncate(
         writer: asyncio.StreamWriter, attempt: str, _: int
@@ -310,6 +408,162 @@
     assert asyncio.run(cancelled())
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Flood:
+    """Bytes that an upstream sends until its peer closes.
+
+    Attributes:
+        first: Sent once; `ID` stands for the id of the attempt.
+        repeated: Sent over and over.
+        pause_s: Time between two sends.
+    """
+
+    first: str
+    repeated: bytes
+    pause_s: float = 0.0
+
+
+class FloodingUpstream:
+    """Sends without end, in threads, so that the loop runs only the client.
+
+    Attributes:
+        sent_bytes: Bytes sent on each connection.
+        closed: Set for each connection whose peer has closed it.
+    """
+
+    def __init__(self, flood: Flood) -> None:
+        self._flood = flood
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self._listener.getsockname()[1]
+        self.connections = 0
+        self.sent_bytes = 0
+        self.closed = threading.Semaphore(0)
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        # A blocked accept ends only when the socket is shut down.
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def has_seen_ends(self, count: int) -> bool:
+        """Waits until the peer has closed so many connections."""
+        return all(
+            self.closed.acquire(timeout=DEADLINE_S) for _ in range(count)
+        )
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                peer, _ = self._listener.accept()
+                self.connections += 1
+                threading.Thread(
+                    target=self._send, args=(peer,), daemon=True
+                ).start()
+
+    def _send(self, peer: socket.socket) -> None:
+        with peer:
+            head = b""
+            while b"\r\n\r\n" not in head:
+                head += peer.recv(65_536)
+            attempt = ""
+            for line in head.decode().split("\r\n"):
+                if line.startswith(names.ATTEMPT_ID):
+                    attempt = line.split(": ")[1]
+            sent = 0
+            try:
+                peer.sendall(self._flood.first.replace("ID", attempt).encode())
+                while sent < MAX_SENT_BYTES:
+                    peer.sendall(self._flood.repeated)
+                    sent += len(self._flood.repeated)
+                    self.sent_bytes += len(self._flood.repeated)
+                    if self._flood.pause_s:
+                        time.sleep(self._flood.pause_s)
+            except OSError:
+                self.closed.release()
+
+
+_STATUS = "HTTP/1.1 200 OK\r\n"
+_HEAD = f"{_STATUS}{names.ATTEMPT_ID}: ID\r\n{names.SEAL}: s\r\n"
+_CHUNKED = f"{_HEAD}Transfer-Encoding: chunked\r\n\r\n"
+_FILL = b"x" * 65_536
+
+
+def client_of(port: int) -> UpstreamClient:
+    loop = asyncio.get_running_loop()
+    return UpstreamClient("127.0.0.1", port, PlatformHeaderCodec(), loop.time)
+
+
+async def send_to(
+    port: int, deadline_s: float = DEADLINE_S, method: str = "GET"
+) -> UpstreamResult | None:
+    """Sends a request; returns None if it had to be cancelled."""
+    return await send_with(client_of(port), deadline_s, method)
+
+
+async def send_with(
+    client: UpstreamClient, deadline_s: float, method: str = "GET"
+) -> UpstreamResult | None:
+    headers = (("Host", "x.example"), (names.ATTEMPT_ID, "id0"))
+    call = UpstreamCall(method, "/a", headers, b"", "id0", True)
+    try:
+        async with asyncio.timeout(deadline_s):
+            return await client.send(call)
+    except TimeoutError:
+        return None
+    finally:
+        await client.close()
+
+
+@contextlib.contextmanager
+def flooding(flood: Flood) -> Iterator[FloodingUpstream]:
+    upstream = FloodingUpstream(flood)
+    try:
+        yield upstream
+    finally:
+        upstream.close()
+
+
+async def longest_turn_s(port: int) -> float:
+    """Returns the most processor time of the loop between two turns."""
+    client = client_of(port)
+    requests = [
+        asyncio.create_task(send_with(client, deadline_s=2))
+        for _ in range(CONCURRENT_REQUESTS)
+    ]
+    longest_s = 0.0
+    before_s = time.thread_time()
+    while not all(request.done() for request in requests):
+        await asyncio.sleep(0)
+        now_s = time.thread_time()
+        longest_s = max(longest_s, now_s - before_s)
+        before_s = now_s
+    return longest_s
+
+
+def test_failure_of_a_long_line_has_a_short_detail() -> None:
+    """The detail goes into a log line."""
+    line = b"not a header " * 4_000 + b"\r\n\r\n"
+    with flooding(Flood(_STATUS, line)) as upstream:
+        result = asyncio.run(send_to(upstream.port))
+    assert isinstance(result, UpstreamUnknown)
+    assert len(result.detail) <= 200
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        f"{_STATUS}A:{' ' * 60_000}\0\r\n\r\n",
+        f"{_CHUNKED}1;{' ' * 60_000}\nx\r\n",
+        f"{_CHUNKED}0\r\nA:{' ' * 60_000}\0\r\n\r\n",
+    ],
+    ids=["header line", "chunk extension", "trailer"],
+)
+def test_long_run_of_blanks_does_not_block_the_loop(head: str) -> None:
+    """The library's time for a line grows with the square of its blanks."""
+    with flooding(Flood(head, _FILL)) as upstream:
+        assert asyncio.run(longest_turn_s(upstream.port)) <= MAX_TURN_S
+
+
 def test_keep_alive_that_is_no_number_is_ignored() -> None:
     """An exception would leave the caller without a reply."""
 
@@ -321,3 +575,10 @@
 
     results, _ = run(state_timeout)
     assert isinstance(results[0], UpstreamAnswered)
+
+
+def test_answer_to_connect_has_an_unknown_outcome() -> None:
+    """The library pauses after it, and the loop must not wait for that."""
+    with flooding(Flood(f"{_STATUS}\r\n", _FILL)) as upstream:
+        result = asyncio.run(send_to(upstream.port, method="CONNECT"))
+    assert isinstance(result, UpstreamUnknown)
