Bound everything that is read for one request

Callers saw: no reply before the deadline, while the upstream sent without end and the node read all of it.

Cause: heads, bodies and answers to other requests each had a limit of their own. Interim answers had none; chunks were limited by their content only, and four answers to other requests could have four times the limit of a body. A declared length over the limit was noticed only once as much had been read. "answer too large" counted as a lost connection, though the node closed it.

Ruled out: endless first lines, header lines, empty lines, chunk lines and trailers, and bytes after a complete answer, which ended before as well. So did trickles, at the deadline; in all these cases the upstream saw the close.

Change: one bound for all bytes that are parsed for one request, twice the largest answer (3,931,072). Small heads and chunks count as 64 KiB and 64 bytes, because they take time as well; that replaces the limit of four answers. A declared length of a body or a chunk over the limit ends the request at once. The detail names the limit that was met. An answer to another request is freed before the next is read.

--- a/magnoliafork/mesh/http_exchange.py
+++ b/magnoliafork/mesh/http_exchange.py
@@ -4,6 +4,9 @@
 may send an answer that belongs to an earlier request, so answers must be
 matched by the id that they echo. The node therefore manages the connections
 itself and uses a library only to check and parse the heads.
+
+An upstream may also send bytes without end. Each part of an answer has a limit,
+and so has everything that is read for one request.
 """
 
 import asyncio
@@ -22,8 +25,12 @@
 MAX_ANSWER_HEADER_LINES = 1000
 # Larger answers do not fit into one frame between nodes.
 MAX_ANSWER_BODY_BYTES = 1_900_000
-# Most answers to earlier requests that are skipped while one answer is awaited.
-MAX_SKIPPED_ANSWERS = 4
+# Most bytes parsed for one request: a largest answer, and as much again for the
+# framing of chunks, interim answers and answers to earlier requests.
+MAX_EXCHANGE_BYTES = 2 * (MAX_ANSWER_HEADER_BYTES + MAX_ANSWER_BODY_BYTES)
+# Small heads and chunks count as this much, since they take time too.
+COUNTED_HEAD_BYTES = MAX_ANSWER_HEADER_BYTES
+COUNTED_CHUNK_BYTES = 64
 MAX_CHUNK_LINE_BYTES = 4096
 MAX_DETAIL_CHARS = 160
 _HEAD_END = re.compile(rb"(?:\A|\n)\r?\n")
@@ -198,16 +205,15 @@
     ) -> HttpAnswer | HttpFailure:
         """Reads answers until one matches; interim answers match no request."""
         before_bytes = 0
-        skipped = 0
         try:
-            while skipped < MAX_SKIPPED_ANSWERS:
+            while True:
                 answer = await self._read_answer(method)
                 if answer is not None and matches(answer):
                     return answer
                 if answer is not None:
                     before_bytes = self._exchange_bytes
-                    skipped += 1
-            raise _NoAnswerError("too many answers to other requests")
+                # The next answer may be as large.
+                del answer
         except _NoAnswerError as error:
             has_begun = (
                 bool(self._received) or self._exchange_bytes > before_bytes
@@ -244,7 +250,7 @@
                     f"head over {MAX_ANSWER_HEADER_BYTES} bytes"
                 )
             if found:
-                return self._take(end)
+                return self._take(end, COUNTED_HEAD_BYTES)
             searched = end
             await self._need_more()
 
@@ -253,7 +259,7 @@
         while True:
             end = self._received.find(b"\n", 0, MAX_CHUNK_LINE_BYTES) + 1
             if end:
-                return self._take(end)
+                return self._take(end, COUNTED_CHUNK_BYTES // 2)
             if len(self._received) >= MAX_CHUNK_LINE_BYTES:
                 raise _NoAnswerError(
                     f"chunk line over {MAX_CHUNK_LINE_BYTES} bytes"
@@ -279,25 +285,35 @@
 
     async def _read_body(self, body: bytearray, length: int) -> None:
         """Appends bytes of a declared length."""
+        if len(body) + length > MAX_ANSWER_BODY_BYTES:
+            raise _NoAnswerError(
+                f"body of {len(body) + length} bytes, over"
+                f" {MAX_ANSWER_BODY_BYTES}"
+            )
         while length:
             if not self._received:
                 await self._need_more()
             piece = self._take(min(length, len(self._received)))
             body += piece
             length -= len(piece)
-            if len(body) > MAX_ANSWER_BODY_BYTES:
-                raise _NoAnswerError("answer too large")
 
     async def _read_until_end(self, body: bytearray) -> None:
         """Appends all bytes until the upstream ends the connection."""
         while self._received or await self._has_more():
             body += self._take(len(self._received))
             if len(body) > MAX_ANSWER_BODY_BYTES:
-                raise _NoAnswerError("answer too large")
+                raise _NoAnswerError(f"body over {MAX_ANSWER_BODY_BYTES} bytes")
 
-    def _take(self, count: int) -> bytes:
-        """Removes the next bytes from those that wait for the parser."""
-        self._exchange_bytes += count
+    def _take(self, count: int, counted_bytes: int = 0) -> bytes:
+        """Removes the next bytes from those that wait for the parser.
+
+        They count as `counted_bytes` if they are fewer.
+        """
+        self._exchange_bytes += max(count, counted_bytes)
+        if self._exchange_bytes > MAX_EXCHANGE_BYTES:
+            raise _NoAnswerError(
+                f"over {MAX_EXCHANGE_BYTES} counted bytes for one request"
+            )
         taken = bytes(self._received[:count])
         del self._received[:count]
         return taken
--- a/magnoliafork/tests/mesh/test_http_exchange.py
+++ b/magnoliafork/tests/mesh/test_http_exchange.py
@@ -7,10 +7,12 @@
 import struct
 import threading
 import time
+import tracemalloc
 from collections.abc import Awaitable, Callable, Iterator
 
 import pytest
 
+from magnoliafork.mesh import http_exchange
 from magnoliafork.mesh.upstream import (
     UpstreamAnswered,
     UpstreamCall,
@@ -26,6 +28,21 @@
 
 # Longest time that a consumer waits; a bound has to end a request before it.
 DEADLINE_S = 5.0
+# Each request may read one largest answer and as much again for the framing of
+# chunks and for answers to other requests.
+MAX_READ_BYTES = 2 * (
+    http_exchange.MAX_ANSWER_HEADER_BYTES + http_exchange.MAX_ANSWER_BODY_BYTES
+)
+# What the transport may have read on top of it: one read before it pauses, and
+# the bytes that wait for the parser.
+READ_AHEAD_BYTES = 2 * 256 * 1024
+# A body and its copy, a head, and what was read ahead. Twelve requests stay
+# below a third of a node's 200 MB.
+MAX_HELD_BYTES = (
+    2 * http_exchange.MAX_ANSWER_BODY_BYTES
+    + http_exchange.MAX_ANSWER_HEADER_BYTES
+    + 2 * READ_AHEAD_BYTES
+)
 # Requests that run at a time on one upstream.
 CONCURRENT_REQUESTS = 12
 # Processor time of one turn of the loop. Peers' probes have to be answered
@@ -487,6 +504,56 @@
 _CHUNKED = f"{_HEAD}Transfer-Encoding: chunked\r\n\r\n"
 _FILL = b"x" * 65_536
 
+FLOODS = {
+    "first line": Flood("", _FILL),
+    "header line": Flood(f"{_HEAD}A: ", _FILL),
+    "header lines": Flood(_HEAD, b"a:b\r\n" * 10_000),
+    "empty lines": Flood("", b"\r\n" * 30_000),
+    "interim": Flood("", b"HTTP/1.1 100 Continue\r\n\r\n" * 2_000),
+    "large interim": Flood(
+        "", b"HTTP/1.1 103 Hints\r\n" + b"a:b\r\n" * 13_000 + b"\r\n"
+    ),
+    "interim with long lines": Flood(
+        "",
+        b"HTTP/1.1 103 Hints\r\n" + b"a:" + b"b" * 65_000 + b"\r\n\r\n",
+    ),
+    "interim with most lines": Flood(
+        "", b"HTTP/1.1 103 Hints\r\n" + b"a:b\r\n" * 990 + b"\r\n"
+    ),
+    "declared length": Flood(
+        f"{_HEAD}Content-Length: 1000000000000\r\n\r\n", _FILL
+    ),
+    "large chunks": Flood(_CHUNKED, b"10000\r\n" + _FILL + b"\r\n"),
+    "one chunk": Flood(f"{_CHUNKED}ffffffffff\r\n", _FILL),
+    "1-byte chunks": Flood(_CHUNKED, b"1\r\nx\r\n" * 10_000),
+    "chunk extension": Flood(f"{_CHUNKED}1;", _FILL),
+    "trailers": Flood(f"{_CHUNKED}0\r\n", b"a:b\r\n" * 10_000),
+    "no length": Flood(f"{_HEAD}\r\n", _FILL),
+    "other answers": Flood("", answer("other") * 500),
+    "large other answers": Flood("", answer("other", "x" * 1_800_000)),
+}
+floods = pytest.mark.parametrize("flood", FLOODS.values(), ids=FLOODS)
+
+
+@dataclasses.dataclass(slots=True)
+class ReadCounter:
+    """Bytes that all connections have read from their sockets."""
+
+    read_bytes: int = 0
+
+
+@pytest.fixture
+def counter(monkeypatch: pytest.MonkeyPatch) -> ReadCounter:
+    counter = ReadCounter()
+    receive = http_exchange.HttpConnection.data_received
+
+    def count(connection: http_exchange.HttpConnection, data: bytes) -> None:
+        counter.read_bytes += len(data)
+        receive(connection, data)
+
+    monkeypatch.setattr(http_exchange.HttpConnection, "data_received", count)
+    return counter
+
 
 def client_of(port: int) -> UpstreamClient:
     loop = asyncio.get_running_loop()
@@ -523,6 +590,33 @@
         upstream.close()
 
 
+@floods
+def test_endless_bytes_end_at_a_bound(
+    flood: Flood, counter: ReadCounter
+) -> None:
+    """A request must not read until its deadline what can be no answer."""
+    with flooding(flood) as upstream:
+        result = asyncio.run(send_to(upstream.port))
+        assert isinstance(result, UpstreamUnknown)
+        assert not result.is_connection_lost
+        assert upstream.has_seen_ends(1)
+    assert upstream.connections == 1
+    assert counter.read_bytes <= MAX_READ_BYTES + READ_AHEAD_BYTES
+
+
+@floods
+def test_endless_bytes_need_little_memory(flood: Flood) -> None:
+    """Twelve such requests must fit into the memory of a node."""
+    with flooding(flood) as upstream:
+        tracemalloc.start()
+        try:
+            asyncio.run(send_to(upstream.port, deadline_s=2))
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+    assert peak_bytes <= MAX_HELD_BYTES
+
+
 async def longest_turn_s(port: int) -> float:
     """Returns the most processor time of the loop between two turns."""
     client = client_of(port)
@@ -540,6 +634,76 @@
     return longest_s
 
 
+@floods
+def test_health_check_of_an_endless_answer_has_no_result(
+    flood: Flood, counter: ReadCounter
+) -> None:
+    async def health(upstream: FloodingUpstream) -> object:
+        async with asyncio.timeout(DEADLINE_S):
+            result = await client_of(upstream.port).health("/health")
+        assert await asyncio.to_thread(upstream.has_seen_ends, 1)
+        return result
+
+    is_answer = flood.repeated.startswith(_STATUS.encode())
+    with flooding(flood) as upstream:
+        # A health check carries no id, so that any complete answer is its own.
+        assert (asyncio.run(health(upstream)) is not None) == is_answer
+    assert counter.read_bytes <= MAX_READ_BYTES + READ_AHEAD_BYTES
+
+
+def test_endless_bytes_after_an_answer_close_the_connection(
+    counter: ReadCounter,
+) -> None:
+    async def send(upstream: FloodingUpstream) -> UpstreamResult | None:
+        result = await send_to(upstream.port)
+        assert await asyncio.to_thread(upstream.has_seen_ends, 1)
+        return result
+
+    flood = Flood(f"{_HEAD}Content-Length: 5\r\n\r\nhello", _FILL)
+    with flooding(flood) as upstream:
+        result = asyncio.run(send(upstream))
+    assert isinstance(result, UpstreamAnswered)
+    assert result.body == b"hello"
+    assert counter.read_bytes <= READ_AHEAD_BYTES
+
+
+@pytest.mark.parametrize(
+    "flood",
+    [
+        Flood("", b"HTT", 0.02),
+        Flood(f"{_HEAD}A: ", b"abc", 0.02),
+        Flood("", b"HTTP/1.1 100 Continue\r\n\r\n", 0.02),
+        Flood(f"{_HEAD}\r\n", b"abc", 0.02),
+        Flood(_CHUNKED, b"1\r\nx\r\n", 0.02),
+    ],
+    ids=["first line", "header line", "interim", "no length", "chunks"],
+)
+def test_trickle_ends_at_the_deadline(flood: Flood) -> None:
+    """An upstream goes on with a request until its connection closes."""
+    with flooding(flood) as upstream:
+        assert asyncio.run(send_to(upstream.port, deadline_s=0.3)) is None
+        assert upstream.has_seen_ends(1)
+
+
+@pytest.mark.parametrize(
+    ("name", "bound"),
+    [
+        ("header line", http_exchange.MAX_ANSWER_HEADER_BYTES),
+        ("interim", MAX_READ_BYTES),
+        ("other answers", MAX_READ_BYTES),
+        ("declared length", http_exchange.MAX_ANSWER_BODY_BYTES),
+        ("large chunks", http_exchange.MAX_ANSWER_BODY_BYTES),
+        ("no length", http_exchange.MAX_ANSWER_BODY_BYTES),
+    ],
+)
+def test_failure_names_the_bound_and_its_number(name: str, bound: int) -> None:
+    with flooding(FLOODS[name]) as upstream:
+        result = asyncio.run(send_to(upstream.port))
+    assert isinstance(result, UpstreamUnknown)
+    assert "over" in result.detail
+    assert str(bound) in result.detail
+
+
 def test_failure_of_a_long_line_has_a_short_detail() -> None:
     """The detail goes into a log line."""
     line = b"not a header " * 4_000 + b"\r\n\r\n"
