Limit the time for parsing in one turn of the loop

Callers saw: readiness checks and peers' probes late by seconds while an upstream sent many small chunks or heads.

Cause: a connection parsed all bytes that it had received before it waited again, up to 256 KiB of chunks with one byte each, and twelve connections did so in the same turn of the loop.

Change: the connections to an upstream share 5 ms for parsing in one turn of the loop; those that find it used up go on in the next turn. A connection with 64 KiB that wait for the parser is not read further.

The test measures processor time of the loop's thread between two turns, with twelve requests. The bound of 50 ms: probes have 0.7 s, take up to 7 turns, and a node has under half a core.

--- a/magnoliafork/mesh/http_exchange.py
+++ b/magnoliafork/mesh/http_exchange.py
@@ -31,6 +31,11 @@
 # Small heads and chunks count as this much, since they take time too.
 COUNTED_HEAD_BYTES = MAX_ANSWER_HEADER_BYTES
 COUNTED_CHUNK_BYTES = 64
+# Most bytes that wait for the parser before the connection is read further.
+READ_AHEAD_BYTES = 65_536
+# Most time for parsing in one turn of the loop, over all connections. Peers'
+# probes must be answered within 0.7 s, which takes several turns.
+MAX_PARSE_TURN_S = 0.005
 MAX_CHUNK_LINE_BYTES = 4096
 MAX_DETAIL_CHARS = 160
 _HEAD_END = re.compile(rb"(?:\A|\n)\r?\n")
@@ -91,12 +96,39 @@
         self.is_malformed = is_malformed
 
 
+class ParseTurns:
+    """Limits the time that parsing takes in one turn of the loop."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Creates the limit that the connections of one loop share."""
+        self._loop = loop
+        self._started_s: float | None = None
+
+    async def wait(self) -> None:
+        """Returns in a turn of the loop that has time left for parsing."""
+        while not self._has_time():
+            await asyncio.sleep(0)
+
+    def _has_time(self) -> bool:
+        now_s = self._loop.time()
+        if self._started_s is None:
+            self._started_s = now_s
+            self._loop.call_soon(self._end)
+        return now_s - self._started_s < MAX_PARSE_TURN_S
+
+    def _end(self) -> None:
+        self._started_s = None
+
+
 class HttpConnection(asyncio.Protocol):
     """One connection to the upstream with one request at a time."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, turns: ParseTurns
+    ) -> None:
         """Creates the protocol of a connection that is not open yet."""
         self._loop = loop
+        self._turns = turns
         self._transport: asyncio.Transport | None = None
         self._received = bytearray()
         self._exchange_bytes = 0
@@ -120,6 +152,9 @@
             self.close()
             return
         self._received += data
+        if len(self._received) >= READ_AHEAD_BYTES:
+            assert self._transport is not None
+            self._transport.pause_reading()
         self._wake()
 
     def eof_received(self) -> bool:
@@ -250,6 +285,7 @@
                     f"head over {MAX_ANSWER_HEADER_BYTES} bytes"
                 )
             if found:
+                await self._turns.wait()
                 return self._take(end, COUNTED_HEAD_BYTES)
             searched = end
             await self._need_more()
@@ -259,6 +295,7 @@
         while True:
             end = self._received.find(b"\n", 0, MAX_CHUNK_LINE_BYTES) + 1
             if end:
+                await self._turns.wait()
                 return self._take(end, COUNTED_CHUNK_BYTES // 2)
             if len(self._received) >= MAX_CHUNK_LINE_BYTES:
                 raise _NoAnswerError(
@@ -316,8 +353,14 @@
             )
         taken = bytes(self._received[:count])
         del self._received[:count]
+        if len(self._received) < READ_AHEAD_BYTES:
+            self._resume_reading()
         return taken
 
+    def _resume_reading(self) -> None:
+        if self._transport is not None:
+            self._transport.resume_reading()
+
     async def _need_more(self) -> None:
         """Waits for more bytes, without which the answer is incomplete."""
         if not await self._has_more():
@@ -329,6 +372,7 @@
         """Waits for more bytes; returns false at the orderly end."""
         known = len(self._received)
         if not self._is_at_end:
+            self._resume_reading()
             self._waiter = self._loop.create_future()
             try:
                 await self._waiter
--- a/magnoliafork/mesh/upstream.py
+++ b/magnoliafork/mesh/upstream.py
@@ -10,6 +10,7 @@
     HttpAnswer,
     HttpConnection,
     HttpFailure,
+    ParseTurns,
 )
 from magnoliafork.model.request import Headers
 
@@ -121,6 +122,7 @@
         self._clock = clock
         self._idle: list[HttpConnection] = []
         self._open: set[HttpConnection] = set()
+        self._turns: ParseTurns | None = None
         self.connections_opened = 0
         self.on_disconnected: Callable[[], None] | None = None
 
@@ -186,10 +188,11 @@
 
     async def _connect(self) -> HttpConnection | str:
         loop = asyncio.get_running_loop()
+        turns = self._turns = self._turns or ParseTurns(loop)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: HttpConnection(loop), *self._address
+                    lambda: HttpConnection(loop, turns), *self._address
                 )
         except (OSError, TimeoutError) as error:
             return f"cannot connect: {type(error).__name__} {error}"
--- a/magnoliafork/tests/mesh/test_http_exchange.py
+++ b/magnoliafork/tests/mesh/test_http_exchange.py
@@ -634,6 +634,15 @@
     return longest_s
 
 
+@floods
+def test_parsing_endless_bytes_leaves_turns_to_other_tasks(
+    flood: Flood,
+) -> None:
+    """Readiness checks and peers' probes must be answered meanwhile."""
+    with flooding(flood) as upstream:
+        assert asyncio.run(longest_turn_s(upstream.port)) <= MAX_TURN_S
+
+
 @floods
 def test_health_check_of_an_endless_answer_has_no_result(
     flood: Flood, counter: ReadCounter
