Close the connection when an exchange ends with an exception

Callers saw: memory of the node growing after an exception in an exchange.

Cause: only a cancelled exchange closed its connection. After any other exception it stayed open and busy, in no list, and buffered all that the upstream sent.

Ruled out: the client, which keeps only connections whose exchange has returned.

Change: the exchange closes the connection on every exception.

Before: test_exception_in_an_exchange_closes_the_connection: assert False (not closed after 64 MiB) After: 119 passed in test_http_exchange.

--- a/magnoliafork/mesh/http_exchange.py
+++ b/magnoliafork/mesh/http_exchange.py
@@ -216,7 +216,7 @@
             assert self._transport is not None
             self._transport.write(_encode(request, body))
             return self._finish(await self._read_matching(method, matches))
-        except asyncio.CancelledError:
+        except BaseException:
             self.close()
             raise
 
--- a/magnoliafork/tests/mesh/test_http_exchange.py
+++ b/magnoliafork/tests/mesh/test_http_exchange.py
@@ -13,6 +13,7 @@
 import pytest
 
 from magnoliafork.mesh import http_exchange
+from magnoliafork.mesh.header_codec import AnswerHeaders, RawHeaders
 from magnoliafork.mesh.upstream import (
     UpstreamAnswered,
     UpstreamCall,
@@ -750,6 +751,28 @@
     assert isinstance(results[0], UpstreamAnswered)
 
 
+def test_exception_in_an_exchange_closes_the_connection() -> None:
+    """A connection that stays busy would buffer all further bytes."""
+
+    class FailingCodec(PlatformHeaderCodec):
+        def parse_answer_headers(
+            self, status: int, headers: RawHeaders
+        ) -> AnswerHeaders:
+            raise RuntimeError("no headers")
+
+    async def send(upstream: FloodingUpstream) -> bool:
+        loop = asyncio.get_running_loop()
+        client = UpstreamClient(
+            "127.0.0.1", upstream.port, FailingCodec(), loop.time
+        )
+        with pytest.raises(RuntimeError, match="no headers"):
+            await send_with(client, DEADLINE_S)
+        return await asyncio.to_thread(upstream.has_seen_ends, 1)
+
+    with flooding(FLOODS["other answers"]) as upstream:
+        assert asyncio.run(send(upstream))
+
+
 def test_answer_to_connect_has_an_unknown_outcome() -> None:
     """The library pauses after it, and the loop must not wait for that."""
     with flooding(Flood(f"{_STATUS}\r\n", _FILL)) as upstream:
