Check the path before calls on a quiet connection are cut

Callers got 502 for requests whose upstreams were at work.

Cause: a node closed a call connection when a heartbeat got no reply for 0.7 s, and so ended all calls on it, at the receiver too. The reply was only late: the peer's link was full of configurations.

Change: a heartbeat without a reply starts a check by a new connection that carries no calls. The old one is closed if the peer responds only on the new one, as when something between them has lost track of it, or after 2 s without any reply. A reply that is late on a congested path comes on the old connection first.

Test: test_call_over_a_congested_path_is_not_cut, failed before with LinkFailure(was_sent=True, detail='silent'). The test of a silent connection counts one connection more, the check itself.

--- a/magnoliafork/wire/messages.py
+++ b/magnoliafork/wire/messages.py
@@ -21,6 +21,7 @@
 
     CONTROL = "control"
     CALLS = "calls"
+    PROBE = "probe"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/magnoliafork/wire/pool.py
+++ b/magnoliafork/wire/pool.py
@@ -11,7 +11,13 @@
 
 CONNECT_TIMEOUT_S = 0.5
 SILENCE_PROBE_S = 0.3
+# Time without a reply to a heartbeat after which the path is checked by a new
+# connection. A reply to the heartbeat may only be late: on a congested link or
+# from a busy process, the reply on a new connection would be later still.
 CALL_SILENCE_LIMIT_S = 0.7
+# Time without a reply after which a peer counts as unreachable although no new
+# connection has shown that the old one is dead.
+UNREACHABLE_LIMIT_S = 2.0
 # Mean pause after a failed connection attempt to a peer. Calls to it fail at
 # once meanwhile; otherwise each one would cost its caller a connection timeout.
 RECONNECT_PAUSE_S = 0.2
@@ -30,6 +36,29 @@
     streams: dict[int, StreamFuture] = dataclasses.field(default_factory=dict)
     probe_sent_s: float | None = None
     silence_timer: asyncio.TimerHandle | None = None
+    path_check: asyncio.Task[None] | None = None
+
+
+class _PathProbe:
+    """Owns a connection that only shows whether a peer still responds."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.is_reachable: asyncio.Future[bool] = loop.create_future()
+
+    def on_hello(self, link: Link, hello: messages.Hello) -> None:
+        """Notes that the peer responds."""
+        del link, hello
+        if not self.is_reachable.done():
+            self.is_reachable.set_result(True)
+
+    def on_message(self, link: Link, message: messages.Message) -> None:
+        """Ignores messages; a peer sends only its Hello."""
+
+    def on_closed(self, link: Link) -> None:
+        """Notes that the connection has failed."""
+        del link
+        if not self.is_reachable.done():
+            self.is_reachable.set_result(False)
 
 
 class PeerPool:
@@ -165,6 +194,8 @@
             entry.ready.set_result(False)
         if entry.silence_timer is not None:
             entry.silence_timer.cancel()
+        if entry.path_check is not None:
+            entry.path_check.cancel()
         failure = api.LinkFailure(True, entry.incarnation, link.close_reason)
         for future in entry.streams.values():
             if not future.done():
@@ -275,15 +306,52 @@
         if entry.probe_sent_s is None and silent_s >= SILENCE_PROBE_S:
             entry.probe_sent_s = now_s
             entry.link.send(self._heartbeat())
-        elif (
-            entry.probe_sent_s is not None
-            and now_s - entry.probe_sent_s >= CALL_SILENCE_LIMIT_S
-        ):
-            self.silent_links += 1
-            entry.link.close("silent")
-            return
+        elif entry.probe_sent_s is not None:
+            unanswered_s = now_s - entry.probe_sent_s
+            if unanswered_s >= UNREACHABLE_LIMIT_S:
+                self._close_silent(entry)
+                return
+            if unanswered_s >= CALL_SILENCE_LIMIT_S and (
+                entry.path_check is None or entry.path_check.done()
+            ):
+                entry.path_check = asyncio.get_running_loop().create_task(
+                    self._check_path(entry)
+                )
         self._schedule_silence_check(entry)
 
+    async def _check_path(self, entry: _CallLink) -> None:
+        """Closes a connection if the peer responds only on a new one."""
+        hello = entry.link.peer_hello
+        assert hello is not None
+        probe_sent_s = entry.probe_sent_s
+        probe = _PathProbe(asyncio.get_running_loop())
+        link = self._connector.create_link(probe)
+        try:
+            is_connected = await self._connector.connect(
+                link,
+                hello.instance_id,
+                messages.LinkPurpose.PROBE,
+                CONNECT_TIMEOUT_S,
+            )
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                is_reachable = is_connected and await probe.is_reachable
+        except TimeoutError:
+            is_reachable = False
+        finally:
+            link.close("path checked")
+        is_silent = entry.probe_sent_s == probe_sent_s and (
+            probe_sent_s is not None
+            and entry.link.last_received_s < probe_sent_s
+        )
+        if is_reachable and is_silent:
+            self._close_silent(entry)
+
+    def _close_silent(self, entry: _CallLink) -> None:
+        self.silent_links += 1
+        # The check of the path may be the caller.
+        entry.path_check = None
+        entry.link.close("silent")
+
     def _heartbeat(self) -> messages.Heartbeat:
         heartbeat = self._connector.identity.heartbeat_reply(0)
         return dataclasses.replace(heartbeat, is_reply=False)
--- a/magnoliafork/wire/server.py
+++ b/magnoliafork/wire/server.py
@@ -83,6 +83,9 @@
             link.send(self._identity.hello(messages.LinkPurpose.CONTROL))
             self._control.adopt(link, hello)
             return
+        if hello.purpose == messages.LinkPurpose.PROBE:
+            link.send(self._identity.hello(messages.LinkPurpose.PROBE))
+            return
         if not self._supersede(link, hello):
             link.close("older than another connection of the sender")
             return
