Record the requests that a stop cuts and the bytes that it leaves

The node's logs did not tell which requests these were: `node_stopped` counted the handlers that ran just before the close, and added requests of peers.

A request whose handler is cancelled while the ingress closes now writes `request_cut` with its id, the time that it had waited and whether the sender had got it, and counts in `requests_cut_total`. `node_stopped` states the requests cut, the calls that still ran at the upstream and the bytes that were written to callers and had not left.

Not covered yet: a request that is read and dropped by the HTTP library before a handler starts, and bytes to peers.

--- a/magnoliafork/mesh/ingress.py
+++ b/magnoliafork/mesh/ingress.py
@@ -1,14 +1,16 @@
 """HTTP server for the callers on this machine."""
 
 import asyncio
+import dataclasses
 import itertools
 from collections.abc import Callable
+from typing import Protocol
 
 from aiohttp import web
 from multidict import CIMultiDict
 
 from magnoliafork.mesh.header_codec import HeaderCodec
-from magnoliafork.mesh.sender import MeshRequest, MeshSender
+from magnoliafork.mesh.sender import MeshRequest
 from magnoliafork.model.request import (
     Answered,
     NotRun,
@@ -16,6 +18,8 @@
     Outcome,
     UnknownReason,
 )
+from magnoliafork.observe.events import Event
+from magnoliafork.observe.logs import EventLog
 
 # A body must fit into one frame between nodes.
 MAX_BODY_BYTES = 1_900_000
@@ -39,6 +43,29 @@
 _GATEWAY_TIMEOUT = 504
 
 
+class RequestSender(Protocol):
+    """Handles the requests that the ingress has accepted."""
+
+    async def handle(self, request: MeshRequest) -> Outcome:
+        """Sends a request and returns its only outcome."""
+        ...
+
+
+@dataclasses.dataclass(slots=True)
+class _UnansweredRequest:
+    """A request whose handler runs.
+
+    Attributes:
+        arrived_s: Time at which its headers were read.
+        request_id: Id for logs.
+        is_passed_on: Whether the sender has got it.
+    """
+
+    arrived_s: float
+    request_id: str = ""
+    is_passed_on: bool = False
+
+
 class MeshIngress:
     """HTTP server that passes the requests of callers to the sender.
 
@@ -46,14 +73,18 @@
         is_stopping: Whether each connection is closed after its next response.
         refuse_for_s: If set, new requests are refused with this `Retry-After`.
         in_flight: Requests without a response.
+        cut: Requests whose connection was closed without a response.
+        unsent_bytes: Bytes that were written and had not left when the
+            connections were closed.
     """
 
     def __init__(
         self,
-        sender: MeshSender,
+        sender: RequestSender,
         header_codec: HeaderCodec,
         own_service: str,
         name: str,
+        log: EventLog,
     ) -> None:
         """Creates an ingress that does not listen yet.
 
@@ -62,10 +93,12 @@
             header_codec: Reads and writes the platform's headers.
             own_service: Service of the upstream on this machine.
             name: Name of this process, a part of the request ids.
+            log: Receives the events.
         """
         self._sender = sender
         self._header_codec = header_codec
         self._own_service = own_service
+        self._log = log
         self._ids = (f"{name}-{number}" for number in itertools.count(1))
         self._server = web.Server(
             self._handle,
@@ -80,7 +113,10 @@
         self._listener: asyncio.Server | None = None
         self.is_stopping = False
         self.refuse_for_s: float | None = None
+        self._is_closing = False
         self.in_flight = 0
+        self.cut = 0
+        self.unsent_bytes = 0
 
     async def start(self, host: str, port: int) -> int:
         """Listens on a port, or a free one if it is 0, and returns it."""
@@ -97,7 +133,16 @@
     async def close(self) -> None:
         """Closes all connections at once."""
         self.stop_listening()
+        self._is_closing = True
+        transports = [
+            connection.transport for connection in self._server.connections
+        ]
         await self._server.shutdown(CALLER_CLOSE_TIMEOUT_S)
+        self.unsent_bytes = sum(
+            transport.get_write_buffer_size()
+            for transport in transports
+            if isinstance(transport, asyncio.WriteTransport)
+        )
 
     @staticmethod
     def _new_request(
@@ -118,25 +163,44 @@
         )
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
+        unanswered = _UnansweredRequest(asyncio.get_running_loop().time())
         self.in_flight += 1
         try:
-            response = await self._respond(request)
+            response = await self._respond(request, unanswered)
+        except asyncio.CancelledError:
+            if self._is_closing:
+                self._record_cut(unanswered)
+            raise
         finally:
             self.in_flight -= 1
         if self.is_stopping:
             response.force_close()
         return response
 
-    async def _respond(self, request: web.BaseRequest) -> web.Response:
+    def _record_cut(self, unanswered: _UnansweredRequest) -> None:
+        self.cut += 1
+        waited_s = asyncio.get_running_loop().time() - unanswered.arrived_s
+        self._log.warning(
+            Event.REQUEST_CUT,
+            request_id=unanswered.request_id,
+            waited_ms=int(waited_s * 1000),
+            is_passed_on=unanswered.is_passed_on,
+        )
+
+    async def _respond(
+        self, request: web.BaseRequest, unanswered: _UnansweredRequest
+    ) -> web.Response:
         headers = [
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in request.raw_headers
         ]
         caller_headers = self._header_codec.parse_caller_headers(headers)
         remaining_s = None
-        started_s = asyncio.get_running_loop().time()
         if caller_headers.remaining_ms is not None:
             remaining_s = caller_headers.remaining_ms / 1000
+        request_id = caller_headers.attempt_id or next(self._ids)
+        # A caller may reuse an id; ids in the receiver's ledger must be unique.
+        unanswered.request_id = f"{request_id}/{next(self._ids)}"
         try:
             body = await request.read()
         except web.HTTPRequestEntityTooLarge:
@@ -145,13 +209,12 @@
             retry_after_ms = int(self.refuse_for_s * 1000)
             return _to_response(NotRun(NotRunReason.LEAVING, retry_after_ms))
         if remaining_s is not None:
-            remaining_s -= asyncio.get_running_loop().time() - started_s
-        request_id = caller_headers.attempt_id or next(self._ids)
+            now_s = asyncio.get_running_loop().time()
+            remaining_s -= now_s - unanswered.arrived_s
+        unanswered.is_passed_on = True
         outcome = await self._sender.handle(
             MeshRequest(
-                # A caller may reuse an id; ids in the receiver's ledger must
-                # be unique.
-                request_id=f"{request_id}/{next(self._ids)}",
+                request_id=unanswered.request_id,
                 method=request.method,
                 host=request.headers.get("Host", ""),
                 target=request.raw_path,
--- a/magnoliafork/mesh/metrics.py
+++ b/magnoliafork/mesh/metrics.py
@@ -26,6 +26,7 @@
         "requests_total": sender.requests,
         "requests_in_flight": sender.in_flight,
         "requests_answered_total": sender.answered,
+        "requests_cut_total": node.ingress.cut,
         "retries_total": sender.retries,
         "hedges_total": sender.hedges,
         "retry_budget_denied_total": sender.budget_denied,
--- a/magnoliafork/mesh/node.py
+++ b/magnoliafork/mesh/node.py
@@ -161,6 +161,7 @@
             header_codec,
             settings.node.service,
             f"{host}-{incarnation:x}",
+            log,
         )
         self._ready = StatusServer(READY_PATH, self._readiness)
         self._metrics_server = StatusServer(
@@ -245,9 +246,14 @@
         self.ingress.stop_listening()
         self.ingress.refuse_for_s = plan.retry_after_s(self._clock())
         await asyncio.sleep(TICK_S / 2)
-        interrupted = self.receiver.active + self.ingress.in_flight
+        active = self.receiver.active
         await self.close()
-        self.log.info(Event.NODE_STOPPED, cut=interrupted)
+        self.log.info(
+            Event.NODE_STOPPED,
+            cut=self.ingress.cut,
+            active=active,
+            unsent_bytes=self.ingress.unsent_bytes,
+        )
 
     def _is_idle(self) -> bool:
         return self.receiver.is_idle and not self.ingress.in_flight
--- a/magnoliafork/observe/events.py
+++ b/magnoliafork/observe/events.py
@@ -44,6 +44,7 @@
     REQUEST_REFUSED = "request_refused"
     REQUEST_FAILED = "request_failed"
     REQUEST_RETRIED = "request_retried"
+    REQUEST_CUT = "request_cut"
     CALL_REFUSED = "call_refused"
     CALL_BROKEN = "call_broken"
     SETTINGS_RELOADED = "settings_reloaded"
