Close idle connections of callers without dropping what was read

Cause: aiohttp's `RequestHandler.shutdown` discards every byte that arrives from then on, and waits for the task of each idle connection until its time limit (`CALLER_CLOSE_TIMEOUT_S`, 0.2 s). The rest of a body that had begun was discarded too. Bytes that were written and had not left were not waited for.

Ruled out: `Server.pre_shutdown` ends idle connections at once, but it also discards the rest of a body on a busy one, so that the request cannot be answered.

Change: an idle connection, one that waits for a request and has read none, is closed by closing its transport, which reads nothing afterwards. Other connections stay as they are until their answer is written, and each closes after its next answer. `close` returns once all connections have ended and their buffers have left, or at its time limit; what is then unanswered is logged. A stop reserves as much time for it as before.

--- a/magnoliafork/mesh/ingress.py
+++ b/magnoliafork/mesh/ingress.py
@@ -4,7 +4,7 @@
 import dataclasses
 import itertools
 from collections.abc import Callable
-from typing import Protocol
+from typing import Protocol, cast
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -30,9 +30,10 @@
 # How long closing the connections waits for running handlers; not 0, which
 # aiohttp treats as no limit.
 STATUS_CLOSE_TIMEOUT_S = 0.05
-# The same for the connections of callers; part of the time that a graceful stop
-# reserves for closing.
+# How long closing waits until requests of callers are answered and the answers
+# have left; part of the time that a graceful stop reserves for closing.
 CALLER_CLOSE_TIMEOUT_S = 0.2
+CLOSE_POLL_S = 0.01
 
 _STATUS_OF_REASON = {
     NotRunReason.NO_ROUTE: 404,
@@ -51,7 +52,29 @@
         ...
 
 
-@dataclasses.dataclass(slots=True)
+class _CallerConnection(web.RequestHandler):
+    """Connection that can tell whether a request of it is unanswered."""
+
+    __slots__ = ("_opened_transport",)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes over an opened connection."""
+        super().connection_made(transport)
+        # The base class drops its reference before the buffer is written.
+        self._opened_transport = cast("asyncio.Transport", transport)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether it waits for a request and has read none."""
+        return self._waiter is not None and not self._waiter.done()
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that were written and have not left the process."""
+        return self._opened_transport.get_write_buffer_size()
+
+
+@dataclasses.dataclass(eq=False, slots=True)
 class _UnansweredRequest:
     """A request whose handler runs.
 
@@ -72,7 +95,6 @@
     Attributes:
         is_stopping: Whether each connection is closed after its next response.
         refuse_for_s: If set, new requests are refused with this `Retry-After`.
-        in_flight: Requests without a response.
         cut: Requests whose connection was closed without a response.
         unsent_bytes: Bytes that were written and had not left when the
             connections were closed.
@@ -104,44 +126,71 @@
             self._handle,
             request_factory=self._new_request,
             handler_cancellation=True,
-            keepalive_timeout=KEEP_ALIVE_S,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
-            auto_decompress=False,
-            access_log=None,
         )
         self._listener: asyncio.Server | None = None
         self.is_stopping = False
         self.refuse_for_s: float | None = None
-        self._is_closing = False
-        self.in_flight = 0
+        self._unanswered: set[_UnansweredRequest] = set()
         self.cut = 0
         self.unsent_bytes = 0
 
     async def start(self, host: str, port: int) -> int:
         """Listens on a port, or a free one if it is 0, and returns it."""
         loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(self._server, host, port)
+        self._listener = await loop.create_server(
+            self._new_connection, host, port
+        )
         bound_port: int = self._listener.sockets[0].getsockname()[1]
         return bound_port
 
+    @property
+    def in_flight(self) -> int:
+        """Number of requests without a response."""
+        return len(self._unanswered)
+
     def stop_listening(self) -> None:
         """Stops accepting connections."""
         if self._listener is not None:
             self._listener.close()
 
-    async def close(self) -> None:
-        """Closes all connections at once."""
+    async def close(self, timeout_s: float = CALLER_CLOSE_TIMEOUT_S) -> None:
+        """Closes idle connections at once, and others after their answer.
+
+        Nothing is read from a connection any more once it is closed, so that
+        no request is read and then dropped.
+
+        Args:
+            timeout_s: How long to wait for answers and for written bytes.
+        """
         self.stop_listening()
-        self._is_closing = True
-        transports = [
-            connection.transport for connection in self._server.connections
-        ]
-        await self._server.shutdown(CALLER_CLOSE_TIMEOUT_S)
+        self.is_stopping = True
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + timeout_s
+        while self._server.connections and loop.time() < end_s:
+            for connection in self._connections():
+                if connection.is_idle:
+                    # The transport sends the rest of its buffer first.
+                    connection.force_close()
+            await asyncio.sleep(CLOSE_POLL_S)
+        for unanswered in self._unanswered:
+            self._record_cut(unanswered)
         self.unsent_bytes = sum(
-            transport.get_write_buffer_size()
-            for transport in transports
-            if isinstance(transport, asyncio.WriteTransport)
+            connection.unsent_bytes for connection in self._connections()
+        )
+        await self._server.shutdown(CLOSE_POLL_S)
+
+    def _connections(self) -> list[_CallerConnection]:
+        return cast("list[_CallerConnection]", self._server.connections)
+
+    def _new_connection(self) -> _CallerConnection:
+        return _CallerConnection(
+            self._server,
+            loop=asyncio.get_running_loop(),
+            keepalive_timeout=KEEP_ALIVE_S,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            auto_decompress=False,
+            access_log=None,  # type: ignore[arg-type]
         )
 
     @staticmethod
@@ -164,15 +213,11 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         unanswered = _UnansweredRequest(asyncio.get_running_loop().time())
-        self.in_flight += 1
+        self._unanswered.add(unanswered)
         try:
             response = await self._respond(request, unanswered)
-        except asyncio.CancelledError:
-            if self._is_closing:
-                self._record_cut(unanswered)
-            raise
         finally:
-            self.in_flight -= 1
+            self._unanswered.discard(unanswered)
         if self.is_stopping:
             response.force_close()
         return response
--- a/magnoliafork/tests/mesh/test_ingress.py
+++ b/magnoliafork/tests/mesh/test_ingress.py
@@ -6,6 +6,9 @@
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable
 
+import pytest
+from aiohttp import web
+
 from magnoliafork.mesh.ingress import MeshIngress
 from magnoliafork.mesh.sender import MeshRequest
 from magnoliafork.model.request import Answered, Outcome
@@ -117,3 +120,93 @@
         assert line["waited_ms"] >= 0
 
     run(test)
+
+
+def test_request_during_the_close_is_answered_or_not_read() -> None:
+    """Guards against a close that reads requests and drops them."""
+
+    async def test(setup: Setup) -> None:
+        setup.sender.may_answer.clear()
+        busy = await setup.connect()
+        busy.send("busy")
+        while not setup.sender.requests:
+            await asyncio.sleep(0)
+        idle = await setup.connect()
+        close = asyncio.create_task(setup.ingress.close())
+        await asyncio.sleep(0.05)
+        sent_s = asyncio.get_running_loop().time()
+        with contextlib.suppress(ConnectionError):
+            idle.send("idle")
+        with contextlib.suppress(
+            asyncio.IncompleteReadError, ConnectionResetError
+        ):
+            await idle.receive()
+        assert asyncio.get_running_loop().time() - sent_s < 0.1
+        setup.sender.may_answer.set()
+        await close
+
+    run(test)
+
+
+def test_request_read_in_the_iteration_of_the_close_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a close that drops a request before its handler runs."""
+
+    async def test(setup: Setup) -> None:
+        caller = await setup.connect()
+        caller.send("first")
+        await caller.receive()
+        closes = []
+        read = web.RequestHandler.data_received
+
+        def read_and_close(handler: web.RequestHandler, data: bytes) -> None:
+            read(handler, data)
+            closes.append(asyncio.create_task(setup.ingress.close()))
+
+        monkeypatch.setattr(web.RequestHandler, "data_received", read_and_close)
+        caller.send("second")
+        head = await caller.receive()
+        assert b" 200 " in head
+        assert b"connection: close" in head.lower()
+        await asyncio.gather(*closes)
+
+    run(test)
+
+
+def test_body_that_arrives_during_the_close_is_read() -> None:
+    """Guards against a close that drops the rest of a body that has begun."""
+
+    async def test(setup: Setup) -> None:
+        caller = await setup.connect()
+        caller.writer.write(
+            b"POST /a/ HTTP/1.1\r\nHost: shop.example\r\n"
+            b"Content-Length: 4\r\n\r\n{}"
+        )
+        while not setup.ingress.in_flight:
+            await asyncio.sleep(0)
+        close = asyncio.create_task(setup.ingress.close())
+        await asyncio.sleep(0.05)
+        caller.writer.write(b"{}")
+        assert b" 200 " in await caller.receive()
+        await close
+
+    run(test)
+
+
+def test_close_waits_until_a_written_answer_has_left() -> None:
+    """Guards against a process end with answers in the transport's buffer."""
+
+    async def test(setup: Setup) -> None:
+        setup.sender.answer_bytes = 8_000_000
+        caller = await setup.connect()
+        caller.send("k1")
+        while not setup.sender.requests:
+            await asyncio.sleep(0)
+        close = asyncio.create_task(setup.ingress.close(TIMEOUT_S))
+        await asyncio.sleep(0.6)
+        assert b" 200 " in await caller.receive()
+        await close
+        assert not setup.ingress.unsent_bytes
+
+    run(test)
