Decide at its arrival whether a stopping node accepts a request

What callers saw: a request sent 3.006 s after SIGTERM, with a grace period of 6 s, was accepted, passed on, and cut at 5.785 s. Half of the grace period is the last time at which an accepted request may still be cut.

Cause: the ingress refused by a flag that a poll set every 50 ms, counted from when the node handled the signal, and up to the very end of that half. The sender of a request counts from when the signal was sent.

Change: the ingress asks the node for each request whose body is complete, and the node answers from the plan and the clock. Requests are accepted until `ACCEPT_MARGIN_S`, 0.25 s, before half of the grace period. Readiness and `Connection: close` no longer wait for the first poll either.

The example of `accepts_callers` named 102.9 s as accepted; it now names the new bound, which is earlier.

--- a/magnoliafork/mesh/graceful_shutdown.py
+++ b/magnoliafork/mesh/graceful_shutdown.py
@@ -19,6 +19,9 @@
 # Share of the grace period in which requests are accepted. A request accepted
 # last may need the rest of it.
 ACCEPT_SHARE = 0.5
+# Time before the end of that share from which requests of callers are refused:
+# a busy loop handles the signal late, and requests arrive after they were sent.
+ACCEPT_MARGIN_S = 0.25
 # Time reserved for closing before the process is killed.
 CLOSE_MARGIN_S = 0.7
 # Time from the end of a process until its successor accepts connections.
@@ -56,10 +59,11 @@
         """Whether requests of callers are accepted.
 
         >>> plan = ShutdownPlan(100.0, grace_period_s=6.0)
-        >>> plan.accepts_callers(102.9), plan.accepts_callers(103.0)
+        >>> plan.accepts_callers(102.7), plan.accepts_callers(102.75)
         (True, False)
         """
-        return now_s < self.begun_s + self.grace_period_s * ACCEPT_SHARE
+        accept_s = self.grace_period_s * ACCEPT_SHARE - ACCEPT_MARGIN_S
+        return now_s < self.begun_s + accept_s
 
     def retry_after_s(self, now_s: float) -> float:
         """Returns how long a refused caller waits until the node is back."""
--- a/magnoliafork/mesh/ingress.py
+++ b/magnoliafork/mesh/ingress.py
@@ -94,7 +94,6 @@
 
     Attributes:
         is_stopping: Whether each connection is closed after its next response.
-        refuse_for_s: If set, new requests are refused with this `Retry-After`.
         cut: Requests whose connection was closed without a response.
         unsent_bytes: Bytes that were written and had not left when the
             connections were closed.
@@ -106,6 +105,7 @@
         header_codec: HeaderCodec,
         own_service: str,
         name: str,
+        refuse_for_s: Callable[[], float | None],
         log: EventLog,
     ) -> None:
         """Creates an ingress that does not listen yet.
@@ -115,11 +115,14 @@
             header_codec: Reads and writes the platform's headers.
             own_service: Service of the upstream on this machine.
             name: Name of this process, a part of the request ids.
+            refuse_for_s: Returns the `Retry-After` of a request that has just
+                arrived and is refused, or None if it is accepted.
             log: Receives the events.
         """
         self._sender = sender
         self._header_codec = header_codec
         self._own_service = own_service
+        self._refuse_for_s = refuse_for_s
         self._log = log
         self._ids = (f"{name}-{number}" for number in itertools.count(1))
         self._server = web.Server(
@@ -129,7 +132,6 @@
         )
         self._listener: asyncio.Server | None = None
         self.is_stopping = False
-        self.refuse_for_s: float | None = None
         self._unanswered: set[_UnansweredRequest] = set()
         self.cut = 0
         self.unsent_bytes = 0
@@ -250,8 +252,9 @@
             body = await request.read()
         except web.HTTPRequestEntityTooLarge:
             return _to_response(NotRun(NotRunReason.BODY_TOO_LARGE))
-        if self.refuse_for_s is not None:
-            retry_after_ms = int(self.refuse_for_s * 1000)
+        refuse_for_s = self._refuse_for_s()
+        if refuse_for_s is not None:
+            retry_after_ms = int(refuse_for_s * 1000)
             return _to_response(NotRun(NotRunReason.LEAVING, retry_after_ms))
         if remaining_s is not None:
             now_s = asyncio.get_running_loop().time()
--- a/magnoliafork/mesh/node.py
+++ b/magnoliafork/mesh/node.py
@@ -161,6 +161,7 @@
             header_codec,
             settings.node.service,
             f"{host}-{incarnation:x}",
+            self._refuse_callers_for_s,
             log,
         )
         self._ready = StatusServer(READY_PATH, self._readiness)
@@ -177,16 +178,26 @@
         self._clock = clock
         self._tasks: list[asyncio.Task[None]] = []
         self.stop_requested = asyncio.Event()
-        self._is_stopping = False
+        self.shutdown_plan: ShutdownPlan | None = None
+        self._is_closing = False
         self.view.subscribe(self._log_changes)
 
     def _readiness(self) -> tuple[int, str]:
-        if self._is_stopping:
+        if self.shutdown_plan is not None:
             return 503, "stopping"
         if self.view.config is None:
             return 503, "no configuration"
         return 200, "ready"
 
+    def _refuse_callers_for_s(self) -> float | None:
+        """Returns when a refused caller may retry; None to accept requests."""
+        plan, now_s = self.shutdown_plan, self._clock()
+        if plan is None or (
+            plan.accepts_callers(now_s) and not self._is_closing
+        ):
+            return None
+        return plan.retry_after_s(now_s)
+
     async def start(self) -> None:
         """Opens all sockets and begins to read the published state.
 
@@ -233,7 +244,8 @@
         run at the upstream and requests of callers are finished.
         """
         plan = ShutdownPlan(self._clock(), self._settings.bounds.grace_period_s)
-        self._is_stopping = True
+        self.shutdown_plan = plan
+        self.ingress.is_stopping = True
         self.log.info(
             Event.STOP_BEGUN,
             in_flight=self.ingress.in_flight,
@@ -244,7 +256,7 @@
             await asyncio.sleep(TICK_S / 2)
         # Requests that arrive while the listener closes are still answered.
         self.ingress.stop_listening()
-        self.ingress.refuse_for_s = plan.retry_after_s(self._clock())
+        self._is_closing = True
         await asyncio.sleep(TICK_S / 2)
         active = self.receiver.active
         await self.close()
@@ -259,12 +271,8 @@
         return self.receiver.is_idle and not self.ingress.in_flight
 
     def _apply_plan(self, plan: ShutdownPlan) -> None:
-        """Refuses requests for which the plan leaves no time."""
-        now_s = self._clock()
-        self.ingress.is_stopping = True
-        if not plan.accepts_callers(now_s):
-            self.ingress.refuse_for_s = plan.retry_after_s(now_s)
-        if not plan.accepts_peer_calls(now_s):
+        """Refuses calls of peers for which the plan leaves no time."""
+        if not plan.accepts_peer_calls(self._clock()):
             self.receiver.is_stopping = True
             self.receiver.tick()
 
--- a/magnoliafork/tests/mesh/test_ingress.py
+++ b/magnoliafork/tests/mesh/test_ingress.py
@@ -76,6 +76,7 @@
             PlatformHeaderCodec(),
             "x",
             "node",
+            lambda: None,
             EventLog("info", self.log),
         )
         self.port = 0
