Answer the requests that are pending when a stop ends

What callers saw: requests that still waited 0.7 s before the end of the grace period were cancelled, and their connection was closed without an answer.

Cause: a stop closed the connections at that time whatever was pending; a pending request knew only its own deadline.

Change: a stop sets a time by which each request of a caller, pending or new, gets its outcome (`MeshSender.end_requests_by`), and earlier deadlines stay. It is the time at which closing begins, so that the answers leave before the connections end.

The outcome is unknown (502, 504), also for a request that waits in a queue of another node: only that node can tell that it has not run.

--- a/magnoliafork/mesh/graceful_shutdown.py
+++ b/magnoliafork/mesh/graceful_shutdown.py
@@ -22,8 +22,10 @@
 # Time before the end of that share from which requests of callers are refused:
 # a busy loop handles the signal late, and requests arrive after they were sent.
 ACCEPT_MARGIN_S = 0.25
-# Time reserved for closing before the process is killed.
+# Time reserved for closing before the process is killed: for the answers to
+# leave over slow links, and the last part for the end of the process.
 CLOSE_MARGIN_S = 0.7
+EXIT_MARGIN_S = 0.35
 # Time from the end of a process until its successor accepts connections.
 RESTART_S = 1.5
 
@@ -42,9 +44,19 @@
 
     @property
     def end_s(self) -> float:
-        """Time at which all connections are closed."""
+        """Time at which requests get their outcome and closing begins."""
         return self.begun_s + max(0.0, self.grace_period_s - CLOSE_MARGIN_S)
 
+    def close_timeout_s(self, now_s: float) -> float:
+        """Returns how long closing may wait for answers to leave.
+
+        >>> plan = ShutdownPlan(100.0, grace_period_s=6.0)
+        >>> round(plan.close_timeout_s(105.35), 3)
+        0.3
+        """
+        closed_s = self.begun_s + self.grace_period_s - EXIT_MARGIN_S
+        return max(0.0, closed_s - now_s)
+
     def accepts_peer_calls(self, now_s: float) -> bool:
         """Whether calls of peers are sent to the upstream.
 
--- a/magnoliafork/mesh/node.py
+++ b/magnoliafork/mesh/node.py
@@ -7,7 +7,11 @@
 
 from magnoliafork.mesh.graceful_shutdown import ShutdownPlan
 from magnoliafork.mesh.header_codec import HeaderCodec
-from magnoliafork.mesh.ingress import MeshIngress, StatusServer
+from magnoliafork.mesh.ingress import (
+    CALLER_CLOSE_TIMEOUT_S,
+    MeshIngress,
+    StatusServer,
+)
 from magnoliafork.mesh.metrics import render
 from magnoliafork.mesh.model import UpstreamEntry
 from magnoliafork.mesh.published_store import PublishedStore
@@ -246,6 +250,7 @@
         plan = ShutdownPlan(self._clock(), self._settings.bounds.grace_period_s)
         self.shutdown_plan = plan
         self.ingress.is_stopping = True
+        self.sender.end_requests_by(plan.end_s)
         self.log.info(
             Event.STOP_BEGUN,
             in_flight=self.ingress.in_flight,
@@ -259,7 +264,7 @@
         self._is_closing = True
         await asyncio.sleep(TICK_S / 2)
         active = self.receiver.active
-        await self.close()
+        await self.close(plan.close_timeout_s(self._clock()))
         self.log.info(
             Event.NODE_STOPPED,
             cut=self.ingress.cut,
@@ -276,13 +281,17 @@
             self.receiver.is_stopping = True
             self.receiver.tick()
 
-    async def close(self) -> None:
-        """Closes all sockets at once, without waiting for requests."""
+    async def close(self, timeout_s: float = CALLER_CLOSE_TIMEOUT_S) -> None:
+        """Closes all sockets; does not end the requests that still run.
+
+        Args:
+            timeout_s: How long to wait for answers to callers to leave.
+        """
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await asyncio.gather(
-            self.ingress.close(),
+            self.ingress.close(timeout_s),
             self._ready.close(),
             self._metrics_server.close(),
         )
--- a/magnoliafork/mesh/sender.py
+++ b/magnoliafork/mesh/sender.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import math
 import random
 from collections.abc import Callable
 
@@ -201,6 +202,8 @@
         self._clock = clock
         self._log = log
         self._record_latency = record_latency
+        self._end_s = math.inf
+        self._timeouts: set[asyncio.Timeout] = set()
         self.selector = UpstreamSelector(own_zone, rng, clock)
         self._attempts = Attempts(peers, self.selector, clock)
         self._split = WeightedSplit(rng)
@@ -226,6 +229,18 @@
         finally:
             self.counters.in_flight -= 1
 
+    def end_requests_by(self, end_s: float) -> None:
+        """Gives requests that are pending at a time their outcome then.
+
+        Applies also to requests that begin later.
+        """
+        self._end_s = end_s
+        for timeout in self._timeouts:
+            when_s = timeout.when()
+            is_later = when_s is not None and when_s > end_s
+            if is_later and not timeout.expired():
+                timeout.reschedule(end_s)
+
     async def _handle(self, request: MeshRequest) -> Outcome:
         config = self._view.config
         if config is None:
@@ -240,11 +255,17 @@
             return NotRun(NotRunReason.NO_ROUTE)
         pending = self._new_pending(request, route)
         deadline_s = pending.state.deadline_s
+        timeout = asyncio.timeout_at(
+            min(deadline_s + REPLY_GRACE_S, self._end_s)
+        )
         try:
-            async with asyncio.timeout_at(deadline_s + REPLY_GRACE_S):
+            async with timeout:
+                self._timeouts.add(timeout)
                 outcome = await self._try_upstreams(pending)
         except TimeoutError:
             outcome = self._outcome_at_deadline(pending)
+        finally:
+            self._timeouts.discard(timeout)
         self._record_outcome(pending, outcome)
         return outcome
 
--- a/magnoliafork/tests/mesh/test_sender.py
+++ b/magnoliafork/tests/mesh/test_sender.py
@@ -348,3 +348,48 @@
         assert setup.sender.counters.in_flight == 0
 
     run(test)
+
+
+@pytest.mark.parametrize("is_repeatable", [True, False])
+def test_request_gets_its_outcome_when_the_node_ends(
+    is_repeatable: bool,
+) -> None:
+    """Guards against requests that have no outcome when their node ends."""
+
+    async def hang(_: str, __: messages.CallRequest) -> Reply:
+        await asyncio.sleep(60)
+        return answered()
+
+    async def test() -> None:
+        setup = SenderSetup(hang, is_repeatable=is_repeatable)
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        pending = asyncio.create_task(setup.send())
+        await asyncio.sleep(0.1)
+        setup.sender.end_requests_by(started_s + 0.3)
+        later = asyncio.create_task(setup.send())
+        assert isinstance(await pending, OutcomeUnknown)
+        assert isinstance(await later, OutcomeUnknown)
+        assert loop.time() == pytest.approx(started_s + 0.3)
+
+    run(test)
+
+
+def test_end_of_the_node_extends_no_deadline() -> None:
+    """Guards against requests that wait past their deadline during a stop."""
+
+    async def hang(_: str, __: messages.CallRequest) -> Reply:
+        await asyncio.sleep(60)
+        return answered()
+
+    async def test() -> None:
+        setup = SenderSetup(hang)
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        pending = asyncio.create_task(setup.send())
+        await asyncio.sleep(0.1)
+        setup.sender.end_requests_by(started_s + 30)
+        assert isinstance(await pending, OutcomeUnknown)
+        assert loop.time() - started_s < 2.0
+
+    run(test)
