--- a/magnoliafork/mesh/ingress.py
+++ b/magnoliafork/mesh/ingress.py
@@ -1,14 +1,16 @@
 """HTTP server for the callers on this machine."""
 
 import asyncio
+import dataclasses
 import itertools
 from collections.abc import Callable
+from typing import Protocol, cast
 
 from aiohttp import web
 from multidict import CIMultiDict
 
 from magnoliafork.mesh.header_codec import HeaderCodec
-from magnoliafork.mesh.sender import MeshRequest, MeshSender
+from magnoliafork.mesh.sender import MeshRequest
 from magnoliafork.model.request import (
     Answered,
     NotRun,
@@ -16,6 +18,8 @@
     Outcome,
     UnknownReason,
 )
+from magnoliafork.observe.events import Event
+from magnoliafork.observe.logs import EventLog
 
 # A body must fit into one frame between nodes.
 MAX_BODY_BYTES = 1_900_000
@@ -26,9 +30,10 @@
 # How long closing the connections waits for running handlers; not 0, which
 # aiohttp treats as no limit.
 STATUS_CLOSE_TIMEOUT_S = 0.05
-# The same for the connections of callers; part of the time that a graceful stop
-# reserves for closing.
+# How long closing waits until requests of callers are answered and the answers
+# have left; part of the time that a graceful stop reserves for closing.
 CALLER_CLOSE_TIMEOUT_S = 0.2
+CLOSE_POLL_S = 0.01
 
 _STATUS_OF_REASON = {
     NotRunReason.NO_ROUTE: 404,
@@ -39,21 +44,69 @@
 _GATEWAY_TIMEOUT = 504
 
 
+class RequestSender(Protocol):
+    """Handles the requests that the ingress has accepted."""
+
+    async def handle(self, request: MeshRequest) -> Outcome:
+        """Sends a request and returns its only outcome."""
+        ...
+
+
+class _CallerConnection(web.RequestHandler):
+    """Connection that can tell whether a request of it is unanswered."""
+
+    __slots__ = ("_opened_transport",)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes over an opened connection."""
+        super().connection_made(transport)
+        # The base class drops its reference before the buffer is written.
+        self._opened_transport = cast("asyncio.Transport", transport)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether it waits for a request and has read none."""
+        return self._waiter is not None and not self._waiter.done()
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that were written and have not left the process."""
+        return self._opened_transport.get_write_buffer_size()
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class _UnansweredRequest:
+    """A request whose handler runs.
+
+    Attributes:
+        arrived_s: Time at which its headers were read.
+        request_id: Id for logs.
+        is_passed_on: Whether the sender has got it.
+    """
+
+    arrived_s: float
+    request_id: str = ""
+    is_passed_on: bool = False
+
+
 class MeshIngress:
     """HTTP server that passes the requests of callers to the sender.
 
     Attributes:
         is_stopping: Whether each connection is closed after its next response.
-        refuse_for_s: If set, new requests are refused with this `Retry-After`.
-        in_flight: Requests without a response.
+        cut: Requests whose connection was closed without a response.
+        unsent_bytes: Bytes that were written and had not left when the
+            connections were closed.
     """
 
     def __init__(
         self,
-        sender: MeshSender,
+        sender: RequestSender,
         header_codec: HeaderCodec,
         own_service: str,
         name: str,
+        refuse_for_s: Callable[[], float | None],
+        log: EventLog,
     ) -> None:
         """Creates an ingress that does not listen yet.
 
@@ -62,42 +115,85 @@
             header_codec: Reads and writes the platform's headers.
             own_service: Service of the upstream on this machine.
             name: Name of this process, a part of the request ids.
+            refuse_for_s: Returns the `Retry-After` of a request that has just
+                arrived and is refused, or None if it is accepted.
+            log: Receives the events.
         """
         self._sender = sender
         self._header_codec = header_codec
         self._own_service = own_service
+        self._refuse_for_s = refuse_for_s
+        self._log = log
         self._ids = (f"{name}-{number}" for number in itertools.count(1))
         self._server = web.Server(
             self._handle,
             request_factory=self._new_request,
             handler_cancellation=True,
-            keepalive_timeout=KEEP_ALIVE_S,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
-            auto_decompress=False,
-            access_log=None,
         )
         self._listener: asyncio.Server | None = None
         self.is_stopping = False
-        self.refuse_for_s: float | None = None
-        self.in_flight = 0
+        self._unanswered: set[_UnansweredRequest] = set()
+        self.cut = 0
+        self.unsent_bytes = 0
 
     async def start(self, host: str, port: int) -> int:
         """Listens on a port, or a free one if it is 0, and returns it."""
         loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(self._server, host, port)
+        self._listener = await loop.create_server(
+            self._new_connection, host, port
+        )
         bound_port: int = self._listener.sockets[0].getsockname()[1]
         return bound_port
 
+    @property
+    def in_flight(self) -> int:
+        """Number of requests without a response."""
+        return len(self._unanswered)
+
     def stop_listening(self) -> None:
         """Stops accepting connections."""
         if self._listener is not None:
             self._listener.close()
 
-    async def close(self) -> None:
-        """Closes all connections at once."""
+    async def close(self, timeout_s: float = CALLER_CLOSE_TIMEOUT_S) -> None:
+        """Closes idle connections at once, and others after their answer.
+
+        Nothing is read from a connection any more once it is closed, so that
+        no request is read and then dropped.
+
+        Args:
+            timeout_s: How long to wait for answers and for written bytes.
+        """
         self.stop_listening()
-        await self._server.shutdown(CALLER_CLOSE_TIMEOUT_S)
+        self.is_stopping = True
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + timeout_s
+        while self._server.connections and loop.time() < end_s:
+            for connection in self._connections():
+                if connection.is_idle:
+                    # The transport sends the rest of its buffer first.
+                    connection.force_close()
+            await asyncio.sleep(CLOSE_POLL_S)
+        for unanswered in self._unanswered:
+            self._record_cut(unanswered)
+        self.unsent_bytes = sum(
+            connection.unsent_bytes for connection in self._connections()
+        )
+        await self._server.shutdown(CLOSE_POLL_S)
+
+    def _connections(self) -> list[_CallerConnection]:
+        return cast("list[_CallerConnection]", self._server.connections)
+
+    def _new_connection(self) -> _CallerConnection:
+        return _CallerConnection(
+            self._server,
+            loop=asyncio.get_running_loop(),
+            keepalive_timeout=KEEP_ALIVE_S,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            auto_decompress=False,
+            access_log=None,  # type: ignore[arg-type]
+        )
 
     @staticmethod
     def _new_request(
@@ -118,40 +214,55 @@
         )
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
-        self.in_flight += 1
+        unanswered = _UnansweredRequest(asyncio.get_running_loop().time())
+        self._unanswered.add(unanswered)
         try:
-            response = await self._respond(request)
+            response = await self._respond(request, unanswered)
         finally:
-            self.in_flight -= 1
+            self._unanswered.discard(unanswered)
         if self.is_stopping:
             response.force_close()
         return response
 
-    async def _respond(self, request: web.BaseRequest) -> web.Response:
+    def _record_cut(self, unanswered: _UnansweredRequest) -> None:
+        self.cut += 1
+        waited_s = asyncio.get_running_loop().time() - unanswered.arrived_s
+        self._log.warning(
+            Event.REQUEST_CUT,
+            request_id=unanswered.request_id,
+            waited_ms=int(waited_s * 1000),
+            is_passed_on=unanswered.is_passed_on,
+        )
+
+    async def _respond(
+        self, request: web.BaseRequest, unanswered: _UnansweredRequest
+    ) -> web.Response:
         headers = [
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in request.raw_headers
         ]
         caller_headers = self._header_codec.parse_caller_headers(headers)
         remaining_s = None
-        started_s = asyncio.get_running_loop().time()
         if caller_headers.remaining_ms is not None:
             remaining_s = caller_headers.remaining_ms / 1000
+        request_id = caller_headers.attempt_id or next(self._ids)
+        # A caller may reuse an id; ids in the receiver's ledger must be unique.
+        unanswered.request_id = f"{request_id}/{next(self._ids)}"
         try:
             body = await request.read()
         except web.HTTPRequestEntityTooLarge:
             return _to_response(NotRun(NotRunReason.BODY_TOO_LARGE))
-        if self.refuse_for_s is not None:
-            retry_after_ms = int(self.refuse_for_s * 1000)
+        refuse_for_s = self._refuse_for_s()
+        if refuse_for_s is not None:
+            retry_after_ms = int(refuse_for_s * 1000)
             return _to_response(NotRun(NotRunReason.LEAVING, retry_after_ms))
         if remaining_s is not None:
-            remaining_s -= asyncio.get_running_loop().time() - started_s
-        request_id = caller_headers.attempt_id or next(self._ids)
+            now_s = asyncio.get_running_loop().time()
+            remaining_s -= now_s - unanswered.arrived_s
+        unanswered.is_passed_on = True
         outcome = await self._sender.handle(
             MeshRequest(
-                # A caller may reuse an id; ids in the receiver's ledger must
-                # be unique.
-                request_id=f"{request_id}/{next(self._ids)}",
+                request_id=unanswered.request_id,
                 method=request.method,
                 host=request.headers.get("Host", ""),
                 target=request.raw_path,
--- a/magnoliafork/mesh/node.py
+++ b/magnoliafork/mesh/node.py
@@ -7,7 +7,11 @@
 
 from magnoliafork.mesh.graceful_shutdown import ShutdownPlan
 from magnoliafork.mesh.header_codec import HeaderCodec
-from magnoliafork.mesh.ingress import MeshIngress, StatusServer
+from magnoliafork.mesh.ingress import (
+    CALLER_CLOSE_TIMEOUT_S,
+    MeshIngress,
+    StatusServer,
+)
 from magnoliafork.mesh.metrics import render
 from magnoliafork.mesh.model import UpstreamEntry
 from magnoliafork.mesh.published_store import PublishedStore
@@ -165,6 +169,8 @@
             header_codec,
             settings.node.service,
             f"{host}-{incarnation:x}",
+            self._refuse_callers_for_s,
+            log,
         )
         self._ready = StatusServer(READY_PATH, self._readiness)
         self._metrics_server = StatusServer(
@@ -180,17 +186,27 @@
         self._clock = clock
         self._tasks: list[asyncio.Task[None]] = []
         self.stop_requested = asyncio.Event()
-        self._is_stopping = False
         self.longest_tick_delay_s = 0.0
+        self.shutdown_plan: ShutdownPlan | None = None
+        self._is_closing = False
         self.view.subscribe(self._log_changes)
 
     def _readiness(self) -> tuple[int, str]:
-        if self._is_stopping:
+        if self.shutdown_plan is not None:
             return 503, "stopping"
         if self.view.config is None:
             return 503, "no configuration"
         return 200, "ready"
 
+    def _refuse_callers_for_s(self) -> float | None:
+        """Returns when a refused caller may retry; None to accept requests."""
+        plan, now_s = self.shutdown_plan, self._clock()
+        if plan is None or (
+            plan.accepts_callers(now_s) and not self._is_closing
+        ):
+            return None
+        return plan.retry_after_s(now_s)
+
     async def start(self) -> None:
         """Opens all sockets and begins to read the published state.
 
@@ -240,7 +256,9 @@
         run at the upstream and requests of callers are finished.
         """
         plan = ShutdownPlan(self._clock(), self._settings.bounds.grace_period_s)
-        self._is_stopping = True
+        self.shutdown_plan = plan
+        self.ingress.is_stopping = True
+        self.sender.end_requests_by(plan.end_s)
         self.log.info(
             Event.STOP_BEGUN,
             in_flight=self.ingress.in_flight,
@@ -251,32 +269,37 @@
             await asyncio.sleep(TICK_S / 2)
         # Requests that arrive while the listener closes are still answered.
         self.ingress.stop_listening()
-        self.ingress.refuse_for_s = plan.retry_after_s(self._clock())
+        self._is_closing = True
         await asyncio.sleep(TICK_S / 2)
-        interrupted = self.receiver.active + self.ingress.in_flight
-        await self.close()
-        self.log.info(Event.NODE_STOPPED, cut=interrupted)
+        active = self.receiver.active
+        await self.close(plan.close_timeout_s(self._clock()))
+        self.log.info(
+            Event.NODE_STOPPED,
+            cut=self.ingress.cut,
+            active=active,
+            unsent_bytes=self.ingress.unsent_bytes,
+        )
 
     def _is_idle(self) -> bool:
         return self.receiver.is_idle and not self.ingress.in_flight
 
     def _apply_plan(self, plan: ShutdownPlan) -> None:
-        """Refuses requests for which the plan leaves no time."""
-        now_s = self._clock()
-        self.ingress.is_stopping = True
-        if not plan.accepts_callers(now_s):
-            self.ingress.refuse_for_s = plan.retry_after_s(now_s)
-        if not plan.accepts_peer_calls(now_s):
+        """Refuses calls of peers for which the plan leaves no time."""
+        if not plan.accepts_peer_calls(self._clock()):
             self.receiver.is_stopping = True
             self.receiver.tick()
 
-    async def close(self) -> None:
-        """Closes all sockets at once, without waiting for requests."""
+    async def close(self, timeout_s: float = CALLER_CLOSE_TIMEOUT_S) -> None:
+        """Closes all sockets; does not end the requests that still run.
+
+        Args:
+            timeout_s: How long to wait for answers to callers to leave.
+        """
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await asyncio.gather(
-            self.ingress.close(),
+            self.ingress.close(timeout_s),
             self._ready.close(),
             self._metrics_server.close(),
         )
