Reply to a call whose handler has failed

A caller waited until its deadline when the receiver met an exception, because the connection then carried no reply (seen with a Keep-Alive header that could not be parsed). The receiver logs the exception and replies that the outcome is unknown.

Test: test_call_whose_handler_fails_gets_a_reply, before: LinkFailure('no reply in time') after 30 s.

--- a/magnoliafork/tests/wire/test_pool.py
+++ b/magnoliafork/tests/wire/test_pool.py
@@ -1,6 +1,7 @@
 """Calls between two nodes over loopback connections that fail or stall."""
 
 import asyncio
+import dataclasses
 import random
 from collections.abc import Callable, Coroutine
 from typing import Any
@@ -172,6 +173,19 @@
     virtual_time.run(_with_pool(check))
 
 
+def test_call_whose_handler_fails_gets_a_reply() -> None:
+    """The caller waited until its deadline for a call that had ended."""
+
+    async def check(pool: PeerPool, handler: _Handler, proxy: _Proxy) -> None:
+        start_s = asyncio.get_running_loop().time()
+        call = dataclasses.replace(REQUEST, path="not a number")
+        reply = await pool.call("b", call, 30.0)
+        assert isinstance(reply, messages.CallUnknown)
+        assert asyncio.get_running_loop().time() - start_s < 1.0
+
+    virtual_time.run(_with_pool(check))
+
+
 def test_slow_answer_on_a_live_connection_is_waited_for() -> None:
     """Guards against taking a slow upstream for a silent connection."""
 
--- a/magnoliafork/wire/server.py
+++ b/magnoliafork/wire/server.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from magnoliafork.model.request import UnknownReason
 from magnoliafork.wire import api, messages
 from magnoliafork.wire.control_links import ControlLinkManager
 from magnoliafork.wire.identity import NodeIdentity
@@ -189,7 +190,13 @@
         stream_id: int,
         serve: ServeStream,
     ) -> None:
-        reply = await serve()
+        reply: messages.StreamReply
+        try:
+            reply = await serve()
+        except Exception:
+            # Without a reply, the sender would wait until its deadline.
+            logger.exception("call failed", extra={"event": "internal_error"})
+            reply = messages.CallUnknown(0, UnknownReason.NO_REPLY.value)
         link.send(dataclasses.replace(reply, stream_id=stream_id))
 
     def _cancel(self, link: Link, stream_id: int) -> None:
