Ignore times in headers that are not finite

A caller's time of 'inf' raised OverflowError and got 500; an upstream's cold time of 'inf' would end the task of its health checks (by reading). Test: test_time_that_is_not_finite_counts_as_no_number, before: OverflowError.

--- a/magnoliafork/platform/header_codec.py
+++ b/magnoliafork/platform/header_codec.py
@@ -1,5 +1,7 @@
 """Reads and writes the headers of the platform's requests and answers."""
 
+import math
+
 from magnoliafork.mesh.header_codec import (
     AnswerHeaders,
     CallerHeaders,
@@ -95,8 +97,9 @@
 
 
 def _seconds(milliseconds: str) -> float:
-    """Converts milliseconds; a value that is not a number counts as 0."""
+    """Converts milliseconds; a value that is no finite number counts as 0."""
     try:
-        return max(0.0, float(milliseconds) / 1000)
+        seconds = float(milliseconds) / 1000
     except ValueError:
         return 0.0
+    return max(0.0, seconds) if math.isfinite(seconds) else 0.0
--- a/magnoliafork/tests/platform/test_header_codec.py
+++ b/magnoliafork/tests/platform/test_header_codec.py
@@ -71,3 +71,12 @@
     assert (
         CODEC.parse_health_headers([(names.COLD_MS, "soon")]).cold_left_s == 0.0
     )
+
+
+def test_time_that_is_not_finite_counts_as_no_number() -> None:
+    """An infinite time raised an error, which ended the request or check."""
+    for text in ("inf", "-inf", "nan", "1e400"):
+        caller_headers = CODEC.parse_caller_headers([(names.DEADLINE_MS, text)])
+        assert caller_headers.remaining_ms == 0
+        health_headers = CODEC.parse_health_headers([(names.COLD_MS, text)])
+        assert health_headers.cold_left_s == 0.0
