Watch kept connections through planned work in the soak

Cause: users lost requests around planned stops, which the soak did not see. Its callers use a client that repeats a GET whose kept connection was closed, and a request without an answer counted as nothing.

Change: further callers send requests on raw connections until the node closes them, whether or not it is ready, and never repeat one; every third reads slowly. A check names each request whose connection ended without a whole answer though it was passed on or had waited longer than 0.2 s, on a fleet that was calm but for planned work; at any time, more than three such requests of a machine without a fault. An answer of the node's own while the server is at work counts too, as does a process that ends by itself. SIGKILL follows SIGTERM after the grace period, as on the platform; a process killed before it had stopped is a violation, one killed after that is only counted, since its connections are closed.

--- a/magnoliafork/tests/platform/standins.py
+++ b/magnoliafork/tests/platform/standins.py
@@ -129,7 +129,14 @@
 
 
 class ServerStandIn:
-    """An upstream that echoes its requests and counts its runs."""
+    """An upstream that echoes its requests and counts its runs.
+
+    The query of a request may set its time of work, `work_ms`, and the least
+    length of its answer, `answer_bytes`.
+
+    Attributes:
+        work_spans_s: Begin and end of the work on each request, loop time.
+    """
 
     def __init__(self, host: str, server_id: str, work_s: float = 0.0) -> None:
         self.host = host
@@ -138,6 +145,7 @@
         self.cold_ms = 0
         self.loses_answers = False
         self.runs: collections.Counter[str] = collections.Counter()
+        self.work_spans_s: dict[str, tuple[float, float]] = {}
         self.requests: list[web.BaseRequest] = []
         self._runner = web.ServerRunner(
             web.Server(self._handle), shutdown_timeout=0.1
@@ -168,28 +176,41 @@
         self.runs[attempt_id] += 1
         self.requests.append(request)
         body = await request.read()
-        await asyncio.sleep(self.work_s)
+        work_s = self.work_s
+        if "work_ms" in request.query:
+            work_s = int(request.query["work_ms"]) / 1000
+        now_s = asyncio.get_running_loop().time()
+        self.work_spans_s[attempt_id] = (now_s, now_s + work_s)
+        await asyncio.sleep(work_s)
         if self.loses_answers and request.transport is not None:
             request.transport.abort()
+        echoed = f"{request.method} {request.raw_path} ".encode() + body
         return web.Response(
-            body=f"{request.method} {request.raw_path} ".encode() + body,
+            body=echoed.ljust(int(request.query.get("answer_bytes", 0)), b"."),
             headers={**echo, names.SEAL: f"seal-{self.server_id}"},
         )
 
 
 def server_entry(
-    host: str, service: str, zone: str, state: str = "ready"
+    host: str, service: str, zone: str, state: str = "ready", slots: int = 4
 ) -> dict[str, Any]:
     """Returns the entry that a server writes to the store."""
     return {
         "address": f"{host}:{SERVER_PORT}",
-        "info": {"service": service, "version": "v1", "zone": zone, "slots": 4},
+        "info": {
+            "service": service,
+            "version": "v1",
+            "zone": zone,
+            "slots": slots,
+        },
         "status": {"state": state, "sequence": 1, "cold_left_ms": 0},
         "born": 1_700_000_000_000,
     }
 
 
-def configuration(version: int, rows: list[list[Any]]) -> dict[str, Any]:
+def configuration(
+    version: int, rows: list[list[Any]], timeout_ms: int = 2000
+) -> dict[str, Any]:
     """Returns a configuration; each row has prefix, kind and service."""
     return {
         "version": f"r{version}",
@@ -206,7 +227,7 @@
                 "max_attempts",
             ],
             "rows": [
-                [f"r-{row[0]}", "shop.example", *row, 2000, 400, 2, 2]
+                [f"r-{row[0]}", "shop.example", *row, timeout_ms, 400, 2, 2]
                 for row in rows
             ],
         },
--- a/magnoliafork/tests/soak/fleet.py
+++ b/magnoliafork/tests/soak/fleet.py
@@ -27,12 +27,20 @@
 
 ROUTES = [["/a/", "safe", "x"], ["/pay/", "unsafe", "y"]]
 START_LIMIT_S = 20.0
+# What asyncio reports if a process ends while a signal is sent to it.
+UNKNOWN_CODE = 255
+# The default of a node's settings.
+GRACE_PERIOD_S = 6.0
 ROOT = pathlib.Path(__file__).parents[3]
 
 
 @dataclasses.dataclass
 class Machine:
-    """One machine: a server in this process and a node process beside it."""
+    """One machine: a server in this process and a node process beside it.
+
+    Attributes:
+        stops_s: Times of SIGTERM, loop time.
+    """
 
     host: str
     service: str
@@ -42,17 +50,40 @@
     process: asyncio.subprocess.Process | None = None
     is_paused: bool = False
     is_restarting: bool = False
+    stops_s: list[float] = dataclasses.field(default_factory=list)
 
 
 class SoakFleet:
-    """Starts, restarts and ends the processes of one run."""
-
-    def __init__(self, folder: pathlib.Path, network: str) -> None:
+    """Starts, restarts and ends the processes of one run.
+
+    Attributes:
+        bad_ends: Processes that ended by themselves or failed, in words.
+        late_ends: Processes that were killed after the grace period.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        network: str,
+        timeout_ms: int = 2000,
+        slots: int = 4,
+    ) -> None:
         """Creates a fleet on addresses `NETWORK.1` to `NETWORK.4`.
 
         Nodes listen for peers on `NETWORK.101` to `NETWORK.104`, behind a
         proxy at the address that their peers know.
+
+        Args:
+            folder: Receives settings and logs.
+            network: First three bytes of the addresses.
+            timeout_ms: Timeout of each route.
+            slots: Requests at which each server works at once.
         """
+        self._timeout_ms = timeout_ms
+        self._slots = slots
+        self._watchers: list[asyncio.Task[None]] = []
+        self.bad_ends: list[str] = []
+        self.late_ends = 0
         self._folder = folder
         self.store = StoreStandIn()
         self.version = 0
@@ -86,6 +117,8 @@
     async def close(self) -> None:
         """Ends the processes that this fleet has started."""
         await self.http.close()
+        for watcher in self._watchers:
+            watcher.cancel()
         for machine in self.machines:
             process = machine.process
             if process is not None and process.returncode is None:
@@ -101,12 +134,16 @@
         self.version += 1
         path = f"/v{self.version}/"
         rows = [*ROUTES, [path, "safe", "x"]]
-        self.store.put("op/config", configuration(self.version, rows))
+        self.store.put(
+            "op/config", configuration(self.version, rows, self._timeout_ms)
+        )
         return path
 
     def announce(self, machine: Machine, state: str) -> None:
         """Stores the entry in which a server announces its state."""
-        entry = server_entry(machine.host, machine.service, machine.zone, state)
+        entry = server_entry(
+            machine.host, machine.service, machine.zone, state, self._slots
+        )
         self.store.put(f"servers/{machine.server.server_id}", entry)
 
     async def start_node(self, machine: Machine) -> None:
@@ -139,15 +176,40 @@
                 stdout=log,
                 stderr=log,
             )
+        self._watchers.append(asyncio.create_task(self._watch_end(machine)))
+
+    async def _watch_end(self, machine: Machine) -> None:
+        assert machine.process is not None
+        code = await machine.process.wait()
+        if not machine.is_restarting:
+            self.bad_ends.append(f"{machine.host} ended by itself: {code}")
 
     async def restart(self, machine: Machine, number: signal.Signals) -> None:
-        """Ends a node with a signal and starts it again."""
+        """Ends a node with a signal and starts it again.
+
+        SIGKILL follows SIGTERM after the grace period.
+        """
         process = machine.process
         assert process is not None
         # A second restart would start two processes on one address.
         machine.is_restarting = True
+        if number == signal.SIGTERM:
+            machine.stops_s.append(asyncio.get_running_loop().time())
         process.send_signal(number)
-        await process.wait()
+        try:
+            async with asyncio.timeout(GRACE_PERIOD_S):
+                await process.wait()
+        except TimeoutError:
+            process.kill()
+            await process.wait()
+            self.late_ends += 1
+            log = self.log_of(machine)
+            if log.rfind("stop_begun") > log.rfind("node_stopped"):
+                self.bad_ends.append(f"{machine.host} did not stop in time")
+        # SIGTERM ends a process that has not listened yet by default.
+        expected = (0, UNKNOWN_CODE, -number, -signal.SIGKILL)
+        if process.returncode not in expected:
+            self.bad_ends.append(f"{machine.host} ended: {process.returncode}")
         await self.start_node(machine)
         machine.is_restarting = False
 
--- a/magnoliafork/tests/soak/run.py
+++ b/magnoliafork/tests/soak/run.py
@@ -1,6 +1,7 @@
 """One seeded run: traffic, injected faults and checked guarantees.
 
-`python -m magnoliafork.tests.soak.run FIRST LAST` runs a range of seeds.
+`python -m magnoliafork.tests.soak.run FIRST LAST [LOGS]` runs a range of seeds
+and copies the logs of the nodes to a folder if a guarantee was violated.
 """
 
 import asyncio
@@ -8,17 +9,26 @@
 import dataclasses
 import pathlib
 import random
+import shutil
 import signal
 import sys
 import tempfile
+from collections.abc import Awaitable, Callable, Sequence
 
+from magnoliafork.tests.soak.callers import KeptCaller, KeptRequest
 from magnoliafork.tests.soak.fleet import Machine, SoakFleet
+from magnoliafork.tests.soak.losses import FaultSpan, find_losses
 
 CALLERS = 6
-RUN_S = 6.0
+# Kept connections to each node.
+KEPT_CONNECTIONS = 2
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Time in which late copies of requests would still arrive.
 SETTLE_S = 1.0
+# Time after which a silenced link has been replaced.
+SILENT_LINK_S = 5.0
+
+Fault = Callable[[Machine], Awaitable[None]]
 
 
 @dataclasses.dataclass
@@ -29,6 +39,7 @@
         violations: Guarantees that were violated, in words.
         statuses: Answers by status; 0 stands for none.
         faults: Faults in the order in which they were injected.
+        late_ends: Processes that were killed after the grace period.
     """
 
     violations: list[str] = dataclasses.field(default_factory=list)
@@ -36,20 +47,31 @@
         default_factory=collections.Counter
     )
     faults: list[str] = dataclasses.field(default_factory=list)
+    late_ends: int = 0
 
 
 class Soak:
     """Traffic and faults of one seed."""
 
+    run_s = 6.0
+    callers = CALLERS
+    kept_connections = KEPT_CONNECTIONS
+    timeout_ms = 2000
+    slots = 4
+
     def __init__(self, fleet: SoakFleet, seed: int) -> None:
         """Creates a run; the seed decides all choices."""
         self._fleet = fleet
+        self._seed = seed
         self._rng = random.Random(seed)
         # Separate from the callers' generator: their number of requests
         # depends on time and must not change the choice of faults.
         self._fault_rng = random.Random(f"faults {seed}")
         self._next_id = 0
         self._unrepeatable: dict[str, int] = {}
+        self._spans: list[FaultSpan] = []
+        self._kept_requests: list[KeptRequest] = []
+        self._start_s = asyncio.get_running_loop().time()
         self.findings = Findings()
 
     async def run(self, seconds: float) -> Findings:
@@ -58,7 +80,7 @@
         end_s = loop.time() + seconds
         await asyncio.gather(
             self._inject(end_s),
-            *[self._call(end_s) for _ in range(CALLERS)],
+            self._send(end_s),
         )
         await self._check_recovery()
         await asyncio.sleep(SETTLE_S)
@@ -67,6 +89,17 @@
 
     # Traffic.
 
+    async def _send(self, end_s: float) -> None:
+        callers = [
+            KeptCaller(machine, f"{self._seed}-{number}", self._kept_requests)
+            for machine in self._fleet.machines
+            for number in range(self.kept_connections)
+        ]
+        await asyncio.gather(
+            *[self._call(end_s) for _ in range(self.callers)],
+            *[caller.run(end_s) for caller in callers],
+        )
+
     async def _call(self, end_s: float) -> None:
         loop = asyncio.get_running_loop()
         while loop.time() < end_s:
@@ -100,28 +133,46 @@
         tasks: list[asyncio.Task[None]] = []
         while loop.time() < end_s - 1.0:
             await asyncio.sleep(0.2 + self._fault_rng.random() * 0.6)
-            fault = self._fault_rng.choice(
-                [
-                    self._kill,
-                    self._stop,
-                    self._pause,
-                    self._hang_up,
-                    self._store_away,
-                    self._configure,
-                    self._drain,
-                    self._take_out,
-                    self._lose_answers,
-                    self._reset_links,
-                    self._silence_links,
-                    self._delay_links,
-                ]
-            )
+            fault = self._fault_rng.choice(self._faults())
             machine = self._fault_rng.choice(self._fleet.machines)
-            name = fault.__name__.strip("_")
-            self.findings.faults.append(f"{name} {machine.host}")
-            tasks.append(asyncio.create_task(fault(machine)))
+            tasks.append(asyncio.create_task(self._apply(fault, machine)))
         await asyncio.gather(*tasks)
 
+    def _faults(self) -> Sequence[Fault]:
+        return [
+            self._kill,
+            self._stop,
+            self._pause,
+            self._hang_up,
+            self._store_away,
+            self._configure,
+            self._drain,
+            self._take_out,
+            self._lose_answers,
+            self._reset_links,
+            self._silence_links,
+            self._delay_links,
+        ]
+
+    async def _apply(self, fault: Fault, machine: Machine) -> None:
+        loop = asyncio.get_running_loop()
+        name = getattr(fault, "__name__", "").strip("_")
+        span = FaultSpan(
+            machine.host,
+            loop.time(),
+            is_planned=self._is_planned(fault),
+        )
+        self._spans.append(span)
+        at_s = span.begin_s - self._start_s
+        self.findings.faults.append(f"{at_s:.2f} {name} {machine.host}")
+        await fault(machine)
+        span.end_s = loop.time()
+        if fault == self._silence_links:
+            span.end_s += SILENT_LINK_S
+
+    def _is_planned(self, fault: Fault) -> bool:
+        return fault in (self._stop, self._hang_up, self._configure)
+
     async def _kill(self, machine: Machine) -> None:
         if self._is_up(machine):
             await self._fleet.restart(machine, signal.SIGKILL)
@@ -207,6 +258,17 @@
             self._add_violation("a node does not serve the last configuration")
 
     def _check_runs(self) -> None:
+        for request in self._kept_requests:
+            self.findings.statuses[request.status] += 1
+            if request.method == "POST":
+                self._unrepeatable[request.attempt_id] = request.status
+            if request.problem:
+                self._add_violation(f"{request.attempt_id} {request.problem}")
+        self.findings.violations += find_losses(
+            self._kept_requests, self._fleet.machines, self._spans
+        )
+        self.findings.violations += self._fleet.bad_ends
+        self.findings.late_ends = self._fleet.late_ends
         runs: collections.Counter[str] = collections.Counter()
         for machine in self._fleet.machines:
             runs.update(machine.server.runs)
@@ -226,35 +288,65 @@
         self.findings.violations.append(text)
 
 
-async def run_seed(seed: int, seconds: float = RUN_S) -> Findings:
-    """Runs one seed; all processes have ended when it returns."""
+async def run_seed(
+    seed: int,
+    seconds: float | None = None,
+    kind: type[Soak] = Soak,
+    log_folder: pathlib.Path | None = None,
+) -> Findings:
+    """Runs one seed; all processes have ended when it returns.
+
+    Args:
+        seed: Decides all choices.
+        seconds: Time in which faults are injected, if not that of the kind.
+        kind: Kind of traffic and faults.
+        log_folder: Receives the logs of the nodes if a guarantee was violated.
+    """
     with tempfile.TemporaryDirectory() as folder:
         # Concurrent runs must not share addresses.
         network = f"127.{100 + seed % 100}.{seed // 100 % 200}"
-        fleet = SoakFleet(pathlib.Path(folder), network)
+        fleet = SoakFleet(
+            pathlib.Path(folder), network, kind.timeout_ms, kind.slots
+        )
         try:
             await fleet.start()
-            return await Soak(fleet, seed).run(seconds)
+            findings = await kind(fleet, seed).run(seconds or kind.run_s)
         finally:
             await fleet.close()
+        if findings.violations and log_folder is not None:
+            shutil.copytree(folder, log_folder / f"{kind.__name__}-{seed}")
+        return findings
+
+
+def report(seed: int, findings: Findings) -> None:
+    """Prints what a seed found."""
+    print(
+        f"seed {seed}: {dict(sorted(findings.statuses.items()))}"
+        f" {len(findings.faults)} faults, {findings.late_ends} late ends,"
+        f" {'violated' if findings.violations else 'kept'}",
+        flush=True,
+    )
+    for violation in findings.violations:
+        print(f"  {violation}", flush=True)
+    if findings.violations:
+        print("  " + ", ".join(findings.faults), flush=True)
+
 
+def main(arguments: Sequence[str], kind: type[Soak] = Soak) -> int:
+    """Runs a range of seeds; returns 1 if a guarantee was violated.
 
-def main(first: int, last: int) -> int:
-    """Runs a range of seeds; returns 1 if a guarantee was violated."""
+    Args:
+        arguments: First and last seed; a folder for logs may follow.
+        kind: Kind of traffic and faults.
+    """
+    log_folder = pathlib.Path(arguments[2]) if len(arguments) > 2 else None
     failed = 0
-    for seed in range(first, last + 1):
-        findings = asyncio.run(run_seed(seed))
+    for seed in range(int(arguments[0]), int(arguments[1]) + 1):
+        findings = asyncio.run(run_seed(seed, kind=kind, log_folder=log_folder))
         failed += bool(findings.violations)
-        print(
-            f"seed {seed}: {dict(sorted(findings.statuses.items()))}"
-            f" {len(findings.faults)} faults"
-            f" {findings.violations or 'kept'}",
-            flush=True,
-        )
-        if findings.violations:
-            print("  " + ", ".join(findings.faults), flush=True)
+        report(seed, findings)
     return 1 if failed else 0
 
 
 if __name__ == "__main__":
-    sys.exit(main(int(sys.argv[1]), int(sys.argv[2])))
+    sys.exit(main(sys.argv[1:]))
--- a/magnoliafork/tests/soak/test_soak.py
+++ b/magnoliafork/tests/soak/test_soak.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from magnoliafork.tests.soak.planned import PlannedSoak
 from magnoliafork.tests.soak.run import run_seed
 
 
@@ -13,3 +14,10 @@
     findings = asyncio.run(run_seed(seed, seconds=4.0))
     assert findings.violations == []
     assert findings.statuses[200] > 0
+
+
+def test_planned_work_loses_no_request() -> None:
+    """Guards against requests cut by restarts while callers keep sending."""
+    findings = asyncio.run(run_seed(1, 8.0, PlannedSoak))
+    assert findings.violations == []
+    assert findings.statuses[200] > 0
