Close the status servers without dropping what was read

The status servers of a node (readiness, metrics) had the fault of the callers' connections: a check that arrived on an open connection within 0.05 s after the close had begun was read and dropped.

Change: both servers close idle connections at once by the same function, and others after their answer.

--- a/magnoliafork/mesh/ingress.py
+++ b/magnoliafork/mesh/ingress.py
@@ -27,8 +27,7 @@
 # Longer than any idle timeout that operators set for callers, so that a request
 # never arrives on a connection that this node is closing.
 KEEP_ALIVE_S = 120.0
-# How long closing the connections waits for running handlers; not 0, which
-# aiohttp treats as no limit.
+# How long closing waits until status requests are answered.
 STATUS_CLOSE_TIMEOUT_S = 0.05
 # How long closing waits until requests of callers are answered and the answers
 # have left; part of the time that a graceful stop reserves for closing.
@@ -52,7 +51,7 @@
         ...
 
 
-class _CallerConnection(web.RequestHandler):
+class _ServerConnection(web.RequestHandler):
     """Connection that can tell whether a request of it is unanswered."""
 
     __slots__ = ("_opened_transport",)
@@ -74,6 +73,26 @@
         return self._opened_transport.get_write_buffer_size()
 
 
+def _connections(server: web.Server) -> list[_ServerConnection]:
+    return cast("list[_ServerConnection]", server.connections)
+
+
+async def _close_idle_connections(server: web.Server, timeout_s: float) -> None:
+    """Closes connections as soon as each is idle, until none is left.
+
+    Nothing is read from a connection any more once it is closed, so that no
+    request is read and then dropped.
+    """
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + timeout_s
+    while server.connections and loop.time() < end_s:
+        for connection in _connections(server):
+            if connection.is_idle:
+                # The transport sends the rest of its buffer first.
+                connection.force_close()
+        await asyncio.sleep(CLOSE_POLL_S)
+
+
 @dataclasses.dataclass(eq=False, slots=True)
 class _UnansweredRequest:
     """A request whose handler runs.
@@ -158,34 +177,21 @@
     async def close(self, timeout_s: float = CALLER_CLOSE_TIMEOUT_S) -> None:
         """Closes idle connections at once, and others after their answer.
 
-        Nothing is read from a connection any more once it is closed, so that
-        no request is read and then dropped.
-
         Args:
             timeout_s: How long to wait for answers and for written bytes.
         """
         self.stop_listening()
         self.is_stopping = True
-        loop = asyncio.get_running_loop()
-        end_s = loop.time() + timeout_s
-        while self._server.connections and loop.time() < end_s:
-            for connection in self._connections():
-                if connection.is_idle:
-                    # The transport sends the rest of its buffer first.
-                    connection.force_close()
-            await asyncio.sleep(CLOSE_POLL_S)
+        await _close_idle_connections(self._server, timeout_s)
         for unanswered in self._unanswered:
             self._record_cut(unanswered)
         self.unsent_bytes = sum(
-            connection.unsent_bytes for connection in self._connections()
+            connection.unsent_bytes for connection in _connections(self._server)
         )
         await self._server.shutdown(CLOSE_POLL_S)
 
-    def _connections(self) -> list[_CallerConnection]:
-        return cast("list[_CallerConnection]", self._server.connections)
-
-    def _new_connection(self) -> _CallerConnection:
-        return _CallerConnection(
+    def _new_connection(self) -> _ServerConnection:
+        return _ServerConnection(
             self._server,
             loop=asyncio.get_running_loop(),
             keepalive_timeout=KEEP_ALIVE_S,
@@ -316,24 +322,31 @@
         """
         self._path = path
         self._answer = answer
-        self._server = web.Server(
-            self._handle,
-            access_log=None,
-        )
+        self._server = web.Server(self._handle)
         self._listener: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> int:
         """Listens on a port, or a free one if it is 0, and returns it."""
         loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(self._server, host, port)
+        self._listener = await loop.create_server(
+            self._new_connection, host, port
+        )
         bound_port: int = self._listener.sockets[0].getsockname()[1]
         return bound_port
 
     async def close(self) -> None:
-        """Closes all connections."""
+        """Closes idle connections at once, and others after their answer."""
         if self._listener is not None:
             self._listener.close()
-        await self._server.shutdown(STATUS_CLOSE_TIMEOUT_S)
+        await _close_idle_connections(self._server, STATUS_CLOSE_TIMEOUT_S)
+        await self._server.shutdown(CLOSE_POLL_S)
+
+    def _new_connection(self) -> _ServerConnection:
+        return _ServerConnection(
+            self._server,
+            loop=asyncio.get_running_loop(),
+            access_log=None,  # type: ignore[arg-type]
+        )
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         if request.path != self._path:
--- a/magnoliafork/tests/mesh/test_ingress.py
+++ b/magnoliafork/tests/mesh/test_ingress.py
@@ -9,7 +9,7 @@
 import pytest
 from aiohttp import web
 
-from magnoliafork.mesh.ingress import MeshIngress
+from magnoliafork.mesh.ingress import MeshIngress, StatusServer
 from magnoliafork.mesh.sender import MeshRequest
 from magnoliafork.model.request import Answered, Outcome
 from magnoliafork.observe.logs import EventLog
@@ -211,3 +211,23 @@
         assert not setup.ingress.unsent_bytes
 
     run(test)
+
+
+def test_idle_connection_for_status_ends_as_soon_as_the_close_begins() -> None:
+    """Guards against a close that reads readiness checks and drops them."""
+
+    async def test(setup: Setup) -> None:
+        del setup
+        server = StatusServer("/ready", lambda: (200, "ready"))
+        port = await server.start(HOST, 0)
+        idle = Caller(*await asyncio.open_connection(HOST, port))
+        idle.writer.write(b"GET /ready HTTP/1.1\r\nHost: node\r\n\r\n")
+        await idle.receive()
+        close = asyncio.create_task(server.close())
+        for _ in range(10):
+            await asyncio.sleep(0)
+        # The end of the connection is known before the next check is sent.
+        assert idle.reader.at_eof()
+        await close
+
+    run(test)
