Do not postpone the end of an outage with each report of it

All nodes knew of the removals within 20 ms, but kept the entries as expired in an outage of the store that had ended 0.13 s before. They were to stay for 2.3 s and stayed for 2.7 to 2.9 s.

Cause: nodes tell each other how long ago the outage ended, and each took the latest end. A report has aged by its transfer, so that the end moved on with every exchange of reports.

Change: an end within 0.5 s of the known one is the same outage.

Test: test_reports_of_peers_do_not_postpone_the_end_of_an_outage, before: the removed upstream is still listed after 2.4 s.

--- a/magnoliafork/mesh/upstream_table.py
+++ b/magnoliafork/mesh/upstream_table.py
@@ -16,6 +16,10 @@
 # Time after an outage in which removals may be a consequence of it; the effects
 # of the outage reach this node within that time.
 OUTAGE_EFFECT_WINDOW_S = 0.6
+# Reports of an outage whose ends lie closer together are about the same one.
+# Each report has aged by its transfer, so that taking the latest end would
+# postpone it with every report that the nodes send each other.
+SAME_OUTAGE_S = 0.5
 # Longer times since an outage are reported as this.
 MAX_OUTAGE_AGE_S = 3600.0
 
@@ -40,9 +44,9 @@
     def record_outage_end(self, ago_s: float) -> None:
         """Records that the store became available again some time ago."""
         self._is_store_unavailable = False
-        self._outage_ended_at_s = max(
-            self._outage_ended_at_s, self._clock() - ago_s
-        )
+        ended_at_s = self._clock() - ago_s
+        if ended_at_s > self._outage_ended_at_s + SAME_OUTAGE_S:
+            self._outage_ended_at_s = ended_at_s
 
     def outage_ended_ago_s(self) -> float:
         """Returns the time since the last outage ended, at most an hour."""
--- a/magnoliafork/tests/mesh/test_upstream_table.py
+++ b/magnoliafork/tests/mesh/test_upstream_table.py
@@ -47,6 +47,27 @@
     assert ids(table) == []
 
 
+def test_reports_of_peers_do_not_postpone_the_end_of_an_outage() -> None:
+    """Removed upstreams got requests for longer than an outage excuses."""
+    published, table, clock = make()
+    published.announce(entry("a"))
+    table.record_outage_end(0.0)
+    published.withdraw(entry("a"))
+    _, peer, _ = make()
+    peer._clock = clock
+    transfer_s = 0.02
+    for _ in range(60):
+        ago_s = table.outage_ended_ago_s()
+        clock.now_s += transfer_s
+        peer.record_outage_end(ago_s)
+        ago_s = peer.outage_ended_ago_s()
+        clock.now_s += transfer_s
+        table.record_outage_end(ago_s)
+    table.tick(clock.now_s)
+    assert clock.now_s > 1000.0 + REWRITE_WINDOW_S
+    assert ids(table) == []
+
+
 def test_expired_entry_that_is_written_again_is_not_listed_twice() -> None:
     published, table, clock = make()
     published.announce(entry("a"))
