Answer a request that is read just before the ingress closes

A request that had been read in the same iteration of the loop, whose handler had not started, got no answer.

Test: test_request_read_just_before_connections_close_is_answered, before IncompleteReadError, after it passes.

--- a/magnoliafork/proxy/ingress_runner.py
+++ b/magnoliafork/proxy/ingress_runner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from typing import Any
+from typing import Any, cast
 
 from aiohttp import web
 
@@ -42,6 +42,13 @@
 class _Handler(web.RequestHandler):
     """Connection that adds an outcome to responses to protocol errors."""
 
+    __slots__ = ()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether it waits for a request and has read none."""
+        return self._waiter is not None and not self._waiter.done()
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -125,12 +132,16 @@
         return cut
 
     async def _close_connections(self, server: web.Server) -> None:
-        for connection in server.connections:
-            # The transport sends the rest of its buffer before it closes.
-            connection.force_close()
         loop = asyncio.get_running_loop()
+        # A request that has just been read may not have a handler yet.
+        busy_end_s = loop.time() + _SOCKET_READ_WAIT_S
         end_s = loop.time() + _FLUSH_S
         while server.connections and loop.time() < end_s:
+            is_over = loop.time() >= busy_end_s
+            for connection in cast("list[_Handler]", server.connections):
+                if is_over or connection.is_idle:
+                    # The transport sends the rest of its buffer first.
+                    connection.force_close()
             await asyncio.sleep(_FLUSH_POLL_S)
         await server.shutdown(_FLUSH_POLL_S)
 
--- a/magnoliafork/tests/proxy/test_ingress.py
+++ b/magnoliafork/tests/proxy/test_ingress.py
@@ -9,6 +9,7 @@
 from typing import Any, Concatenate, ParamSpec
 
 import pytest
+from aiohttp import web
 
 from magnoliafork.proxy.ingress import IngressLimits, build_app
 from magnoliafork.proxy.ingress_runner import IngressRunner
@@ -311,3 +312,29 @@
     await ingress.runs(1)
     assert await ingress.runner.stop(0.1) == 1
     await ingress.sender.drained(2.0)
+
+
+@with_ingress
+async def test_request_read_just_before_connections_close_is_answered(
+    ingress: IngressFixture,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a stop that drops a request before its handler runs."""
+    caller = await ingress.connect()
+    await caller.exchange("GET /r/a HTTP/1.1")
+    ingress.runner.begin_stop()
+    server = ingress.runner._web_server
+    assert server is not None
+    closes = []
+    read = web.RequestHandler.data_received
+
+    def read_and_close(handler: web.RequestHandler, data: bytes) -> None:
+        read(handler, data)
+        close = ingress.runner._close_connections(server)
+        closes.append(asyncio.create_task(close))
+
+    monkeypatch.setattr(web.RequestHandler, "data_received", read_and_close)
+    status, headers, _ = await caller.exchange("GET /r/a HTTP/1.1")
+    assert status == 200
+    assert headers["connection"] == "close"
+    await asyncio.gather(*closes)
