Take over reading where no node is known to have read the store

Cause: a node read the store only if it was one of the first of its zone or had no live neighbour. With tiers, its neighbours may be cut off like itself.

Change: announcements carry the age of the newest answer of the store and who got it. A node whose view is older than the tiers explain takes over, one after the other by rank; a node that lost its peers in its zone tries others.

--- a/magnoliafork/mesh/reader_selection.py
+++ b/magnoliafork/mesh/reader_selection.py
@@ -131,6 +131,49 @@
     return tuple(targets)
 
 
+def fallback_targets(fleet: Fleet, attempt: int) -> tuple[str, ...]:
+    """Returns peers for a node whose peers in its own zone are all lost.
+
+    Each attempt returns other nodes, so that one of them is found whichever
+    nodes are lost.
+    """
+    ranked = fleet.zones.get(fleet.own_zone, ())
+    first_tier = max(ZONE_LINKS, readers_per_zone(fleet))
+    others = [host for host in ranked if host != fleet.own_host]
+    key = f"{fleet.own_host}/{attempt}"
+    return (*others[:first_tier], *_closest(key, others, ZONE_LINKS))
+
+
+def takeover_rank(fleet: Fleet) -> int:
+    """Returns how many nodes of the zone take over reading before this one.
+
+    >>> takeover_rank(Fleet("d", "x", {"x": ["a", "b", "c", "d"]}))
+    3
+    """
+    ranked = fleet.zones.get(fleet.own_zone, ())
+    return list(ranked).index(fleet.own_host) if ranked else 0
+
+
+def max_view_age_s(fleet: Fleet, answer_s: float, hop_s: float) -> float:
+    """Returns the highest age of a view that is kept up to date.
+
+    Args:
+        fleet: Known nodes.
+        answer_s: Longest time between two answers of the store to a reader.
+        hop_s: Longest time until a node announces the age to its neighbours.
+
+    >>> max_view_age_s(Fleet("a", "x", {"x": ["a"]}), 2.0, 1.0)
+    4.0
+    """
+    first_tier = max(ZONE_LINKS, readers_per_zone(fleet))
+    rank, hops = takeover_rank(fleet), 2
+    start, _ = _tier(rank, first_tier)
+    while start > 0:
+        start, _ = _tier(start - 1, first_tier)
+        hops += 1
+    return answer_s + hops * hop_s
+
+
 def _tier(rank: int, first_tier: int) -> tuple[int, int]:
     """Returns the first rank of the tier of a rank, and of the next tier.
 
--- a/magnoliafork/mesh/view_sync.py
+++ b/magnoliafork/mesh/view_sync.py
@@ -29,6 +29,12 @@
 # known of too few readers for this long; a new process receives the
 # announcements of the readers within this time.
 TAKEOVER_DELAY_S = ANNOUNCE_INTERVAL_S + 0.2
+# Longest time between two answers of the store to a reader: a watch and the
+# pause after it.
+STORE_ANSWER_INTERVAL_S = 2.2
+# Pause between nodes of a zone that take over reading because their views get
+# too old: if the store is away, not all of them read at once.
+TAKEOVER_STEP_S = 0.2
 # Time after which a request for missing changes is repeated at another peer.
 # A reply of the whole state takes most of it on the slowest links, of 5 Mbit/s.
 REQUEST_TIMEOUT_S = 0.4
@@ -87,6 +93,12 @@
         self._requested_from = ""
         self._bootstrap_peers: set[str] = set()
         self._takeover_pending_since_s: float | None = None
+        self._started_s = clock()
+        self._view_fresh_at_s = float("-inf")
+        self._view_reader = ""
+        self._fresh_from_others_at_s = float("-inf")
+        self._linked_at_s = clock()
+        self._fallback_attempt = 0
         self.last_store_answer_s = float("-inf")
         self.is_reader = False
         self.encoder = ViewEncoder(view)
@@ -122,14 +134,26 @@
             return 0.0
         return self._clock() - self._behind_since_s
 
-    @property
-    def _has_no_live_peer(self) -> bool:
-        now_s = self._clock()
-        return not any(
-            now_s - peer.received_at_s < PEER_TIMEOUT_S
-            for host, peer in self._peers.items()
-            if host in self._links.neighbours()
+    def _is_live(self, host: str, now_s: float) -> bool:
+        peer = self._peers.get(host)
+        return peer is not None and now_s - peer.received_at_s < PEER_TIMEOUT_S
+
+    def _must_take_over(self, now_s: float) -> bool:
+        """Whether no other node is known to read the store.
+
+        The nodes that read may be lost, or have no access to the store, in a
+        part of the fleet that this node has no links to.
+        """
+        if not any(
+            self._is_live(host, now_s) for host in self._links.neighbours()
+        ):
+            return True
+        max_age_s = reader_selection.max_view_age_s(
+            self._fleet, STORE_ANSWER_INTERVAL_S, ANNOUNCE_INTERVAL_S
         )
+        fresh_at_s = max(self._started_s, self._fresh_from_others_at_s)
+        step_s = TAKEOVER_STEP_S * reader_selection.takeover_rank(self._fleet)
+        return now_s - fresh_at_s > max_age_s + step_s
 
     def tick(self) -> None:
         """Updates the links and the reader role, announces, and catches up."""
@@ -144,24 +168,40 @@
                 is_reader=self.is_reader,
                 view_revision=self._view.revision,
             )
-        targets = reader_selection.link_targets(
-            self._fleet, self.has_store_access
-        )
-        if not self._view.revision:
-            targets = (*targets, *sorted(self._bootstrap_peers)[:2])
-        self._links.set_targets(targets)
         now_s = self._clock()
+        self._links.set_targets(self._link_targets(now_s))
         if now_s - self._announced_at_s >= ANNOUNCE_INTERVAL_S:
             self.announce()
         self._catch_up(now_s)
 
+    def _link_targets(self, now_s: float) -> tuple[str, ...]:
+        targets = reader_selection.link_targets(
+            self._fleet, self.has_store_access
+        )
+        if not self._view.revision:
+            return (*targets, *sorted(self._bootstrap_peers)[:2])
+        zone_hosts = self._zone_hosts()
+        if any(self._is_live(h, now_s) for h in targets if h in zone_hosts):
+            self._linked_at_s = now_s
+            self._fallback_attempt = 0
+            return targets
+        lost_s = now_s - self._linked_at_s
+        if lost_s > PEER_TIMEOUT_S * (self._fallback_attempt + 1):
+            self._fallback_attempt += 1
+        if not self._fallback_attempt:
+            return targets
+        fallback = reader_selection.fallback_targets(
+            self._fleet, self._fallback_attempt
+        )
+        return (*targets, *fallback)
+
     def _should_read(self, now_s: float) -> bool:
         if reader_selection.is_default_reader(self._fleet):
             return True
         is_selected = reader_selection.is_reader(
             self._fleet, self.has_store_access
         )
-        if not is_selected and not self._has_no_live_peer:
+        if not is_selected and not self._must_take_over(now_s):
             self._takeover_pending_since_s = None
             return False
         if self._takeover_pending_since_s is None:
@@ -189,10 +229,16 @@
         age_ms = int(min(age_s * 1000, NO_STORE_ACCESS_MS))
         if not self.is_reader:
             age_ms = NO_STORE_ACCESS_MS
+        if self.last_store_answer_s > self._view_fresh_at_s:
+            self._view_fresh_at_s = self.last_store_answer_s
+            self._view_reader = self._own_host
+        view_age_s = now_s - self._view_fresh_at_s
         return messages.ViewAnnounce(
             self._view.revision,
             age_ms,
             int(self._table.outage_ended_ago_s() * 1000),
+            max(1, int(min(view_age_s * 1000, NO_STORE_ACCESS_MS))),
+            self._view_reader,
         )
 
     def _known_fleet(self) -> reader_selection.Fleet:
@@ -233,6 +279,7 @@
                 peer.revision = message.revision
                 peer.store_answer_at_s = now_s - message.source_age_ms / 1000
                 self._table.record_outage_end(message.outage_ended_ms / 1000)
+                self._record_view_age(message, now_s)
                 self._catch_up(now_s)
             case messages.ViewRequest():
                 self._links.send(instance_id, self.encoder.reply(message))
@@ -241,6 +288,19 @@
             case _:
                 pass
 
+    def _record_view_age(
+        self, message: messages.ViewAnnounce, now_s: float
+    ) -> None:
+        fresh_at_s = now_s - message.view_age_ms / 1000
+        if fresh_at_s > self._view_fresh_at_s:
+            self._view_fresh_at_s = fresh_at_s
+            self._view_reader = message.view_reader
+        # What this node has read itself comes back over its neighbours.
+        if message.view_reader != self._own_host:
+            self._fresh_from_others_at_s = max(
+                self._fresh_from_others_at_s, fresh_at_s
+            )
+
     def _on_reply(self, host: str, reply: messages.ViewReply) -> None:
         if host == self._requested_from:
             self._requested_from = ""
--- a/magnoliafork/wire/messages.py
+++ b/magnoliafork/wire/messages.py
@@ -253,11 +253,16 @@
         revision: Revision up to which the sender's view is complete.
         source_age_ms: Time since the sender last heard from the store.
         outage_ended_ms: Time since the last outage of the store ended.
+        view_age_ms: Time since the newest answer of the store that the sender
+            knows of, whoever got it; 0 if an earlier release does not tell.
+        view_reader: Host that got that answer.
     """
 
     revision: int
     source_age_ms: int
     outage_ended_ms: int
+    view_age_ms: int = 0
+    view_reader: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/magnoliafork/wire/peer.thrift
+++ b/magnoliafork/wire/peer.thrift
@@ -152,6 +152,8 @@
     1: i64 revision
     2: i32 source_age_ms
     3: i32 outage_ended_ms
+    4: i32 view_age_ms
+    5: string view_reader
 }
 
 struct ViewRequest {
