Keep keys instead of values in the log of changes

A storm of large configurations filled the log, by bytes, within about ten versions, and peers behind that got the whole state. Before the bound, the log kept up to 4,096 configurations. Only the newest value of a key is ever sent, so the log needs keys and revisions only.

Test: test_many_large_configurations_are_not_kept.

--- a/magnoliafork/mesh/view.py
+++ b/magnoliafork/mesh/view.py
@@ -22,8 +22,6 @@
 # Changes kept for peers that lag behind; at fewer than one change per second
 # they cover an hour.
 MAX_LOG_ITEMS = 4096
-# Together with the number of items, bounds the memory of the log.
-MAX_LOG_BYTES = 2 * 1024 * 1024
 # Earlier versions of large values are kept, so that peers can be sent what has
 # changed. Patches of smaller values would save little.
 MIN_HISTORY_VALUE_BYTES = 4096
@@ -73,9 +71,9 @@
         self._decode = decode
         self._items: dict[str, StoredItem] = {}
         self._decoded: dict[str, DecodedItem] = {}
-        self._log: collections.deque[StoredItem] = collections.deque()
+        # Keys and revisions; the values are those of the items.
+        self._log: collections.deque[tuple[str, int]] = collections.deque()
         self._log_base = 0
-        self._log_bytes = 0
         self._history: dict[str, collections.deque[StoredItem]] = {}
         self.revision = 0
         self.change_count = 0
@@ -123,7 +121,6 @@
         if delta.base_revision == 0:
             changes = self._replace(delta.items)
             self._log.clear()
-            self._log_bytes = 0
             self._log_base = delta.revision
         else:
             changes = self._merge(delta.items)
@@ -141,10 +138,12 @@
         If the log does not reach back that far, returns the whole state.
         """
         if revision and revision >= self._log_base:
-            newest = {
-                item.key: item for item in self._log if item.revision > revision
-            }
-            return ViewDelta(revision, self.revision, tuple(newest.values()))
+            newest = {key: at for key, at in self._log if at > revision}
+            items = [
+                self._items.get(key) or StoredItem(key, at, b"")
+                for key, at in newest.items()
+            ]
+            return ViewDelta(revision, self.revision, tuple(items))
         return ViewDelta(0, self.revision, tuple(self._items.values()))
 
     def value_at(self, key: str, revision: int) -> StoredItem | None:
@@ -155,12 +154,9 @@
         return None
 
     def _add_to_log(self, item: StoredItem) -> None:
-        self._log.append(item)
-        self._log_bytes += len(item.value)
-        while len(self._log) > MAX_LOG_ITEMS or self._log_bytes > MAX_LOG_BYTES:
-            dropped = self._log.popleft()
-            self._log_bytes -= len(dropped.value)
-            self._log_base = max(self._log_base, dropped.revision)
+        self._log.append((item.key, item.revision))
+        if len(self._log) > MAX_LOG_ITEMS:
+            _, self._log_base = self._log.popleft()
 
     def _merge(self, items: Iterable[StoredItem]) -> list[Change]:
         changes = []
--- a/magnoliafork/tests/mesh/test_view_codec.py
+++ b/magnoliafork/tests/mesh/test_view_codec.py
@@ -1,6 +1,7 @@
 """Changes sent as patches give the same view as whole values."""
 
 import random
+import tracemalloc
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -9,7 +10,6 @@
 from magnoliafork.mesh.value_patch import apply_patch, make_patch
 from magnoliafork.mesh.view import (
     MAX_HISTORY_VALUES,
-    MAX_LOG_BYTES,
     MeshView,
     ViewDelta,
 )
@@ -99,10 +99,14 @@
     assert reply.patched_revisions == ()
 
 
-def test_many_large_configurations_keep_the_log_bounded() -> None:
+def test_many_large_configurations_are_not_kept() -> None:
     """4,096 versions of 200 KB exceeded the memory of a machine."""
-    view = view_with_versions(120)
-    kept = view.delta_after(view._log_base)
-    assert view._log_bytes <= MAX_LOG_BYTES
-    assert kept.base_revision == view._log_base
-    assert view.delta_after(view._log_base - 1).base_revision == 0
+    tracemalloc.start()
+    view = view_with_versions(MAX_HISTORY_VALUES)
+    before_bytes, _ = tracemalloc.get_traced_memory()
+    for version in range(MAX_HISTORY_VALUES + 1, 200):
+        put(view, version)
+    after_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert after_bytes - before_bytes < len(value(1))
+    assert view.delta_after(1).items[0].value == value(199)
