Wait until written replies have left when a node stops

A reply that cannot be written closes its connection now, so that the sender does not wait until its deadline.

--- a/magnoliafork/wire/link.py
+++ b/magnoliafork/wire/link.py
@@ -122,6 +122,13 @@
         """Whether messages can be sent."""
         return self._transport is not None and not self._is_closed
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that were written and have not left the process."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Takes over an opened connection."""
         # Transports of other event loops need not subclass asyncio's.
--- a/magnoliafork/wire/server.py
+++ b/magnoliafork/wire/server.py
@@ -19,6 +19,9 @@
 
 MAX_INBOUND_LINKS = 8192
 HELLO_TIMEOUT_S = 2.0
+# Part of the time between the close of callers' connections and the kill.
+STOP_TIMEOUT_S = 0.15
+STOP_POLL_S = 0.01
 
 
 @dataclasses.dataclass(slots=True)
@@ -67,12 +70,21 @@
         port_in_use: int = self._server.sockets[0].getsockname()[1]
         return port_in_use
 
-    async def stop(self) -> None:
-        """Stops listening and closes all accepted connections."""
+    async def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> None:
+        """Stops listening and closes all accepted connections.
+
+        Args:
+            timeout_s: How long to wait until written replies have left.
+        """
         if self._server is not None:
             self._server.close()
-        for link in list(self._inbound):
+        links = list(self._inbound)
+        for link in links:
             link.close_after_flush("server stopped")
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + timeout_s
+        while loop.time() < end_s and any(link.unsent_bytes for link in links):
+            await asyncio.sleep(STOP_POLL_S)
 
     def on_hello(self, link: Link, hello: messages.Hello) -> None:
         """Answers a peer's Hello and hands control connections over."""
@@ -197,7 +209,9 @@
             # Without a reply, the sender would wait until its deadline.
             logger.exception("call failed", extra={"event": "internal_error"})
             reply = messages.CallUnknown(0, UnknownReason.NO_REPLY.value)
-        link.send(dataclasses.replace(reply, stream_id=stream_id))
+        if not link.send(dataclasses.replace(reply, stream_id=stream_id)):
+            # Without a reply, the sender would wait until its deadline.
+            link.close("reply could not be sent")
 
     def _cancel(self, link: Link, stream_id: int) -> None:
         entry = self._inbound.get(link)
