Start the silence of a connection when its own bytes have left

Found by review: a heartbeat waits behind the bytes of the request that is being sent, while a new connection has no queue, so that the path check closed a connection that was sending 1.9 MB at 5 Mbit/s.

Test: test_large_request_on_a_slow_path_is_not_cut, before LinkFailure with the detail 'silent'.

--- a/magnoliafork/wire/pool.py
+++ b/magnoliafork/wire/pool.py
@@ -37,6 +37,7 @@
     probe_sent_s: float | None = None
     silence_timer: asyncio.TimerHandle | None = None
     path_check: asyncio.Task[None] | None = None
+    unsent_bytes: int = 0
 
 
 class _PathProbe:
@@ -302,6 +303,11 @@
             and entry.link.last_received_s >= entry.probe_sent_s
         ):
             entry.probe_sent_s = None
+        unsent_bytes = entry.link.unsent_bytes
+        if entry.probe_sent_s is not None and unsent_bytes < entry.unsent_bytes:
+            # The heartbeat waits behind a large request that is being sent.
+            entry.probe_sent_s = now_s
+        entry.unsent_bytes = unsent_bytes
         silent_s = now_s - entry.link.last_received_s
         if entry.probe_sent_s is None and silent_s >= SILENCE_PROBE_S:
             entry.probe_sent_s = now_s
