Tell an outage of the store from the refusal of one node

Cause: a node took its own failed reads for an outage of the store, and told its peers, though other nodes read the store all the time. And an entry that was kept had no bound relative to its own removal.

Now an outage is a time in which no node had an answer: each node learns the age of the newest answer with the announcements, and only a gap of more than 2.5 s between two answers is an outage. What a reader saw removed while the store answered is removed. Nodes report ends of outages no more, which also removes the remaining way for late reports to prolong the use of expired entries. An expired entry is used for at most the drain timeout less 0.3 s, a new setting that the platform fills in.

--- a/magnoliafork/mesh/node.py
+++ b/magnoliafork/mesh/node.py
@@ -105,7 +105,9 @@
         host = settings.node.host
         peer_port = split_address(settings.addresses.peers)[1]
         self.view = MeshView(decode)
-        self.table = UpstreamTable(self.view, clock)
+        self.table = UpstreamTable(
+            self.view, clock, settings.bounds.drain_timeout_ms / 1000
+        )
         self.traffic = LinkTraffic()
         self.metrics = Metrics()
         incarnation = int(time.time() * 1000)
--- a/magnoliafork/mesh/settings.py
+++ b/magnoliafork/mesh/settings.py
@@ -69,6 +69,8 @@
 
     Attributes:
         grace_period_s: Time between SIGTERM and SIGKILL.
+        drain_timeout_ms: Time for which an upstream that leaves serves after
+            its entry in the store has changed.
         retry_budget_ratio: Extra attempts allowed for each request.
         retry_budget_slack: Extra attempts of the fleet in a window.
         retry_budget_window_s: Length of that window.
@@ -77,6 +79,7 @@
     """
 
     grace_period_s: Seconds = 6.0
+    drain_timeout_ms: Annotated[float, pydantic.Field(ge=0)] = 2000.0
     retry_budget_ratio: Share = 0.2
     retry_budget_slack: Annotated[float, pydantic.Field(ge=0)] = 60.0
     retry_budget_window_s: Annotated[float, pydantic.Field(gt=0)] = 10.0
--- a/magnoliafork/mesh/store_reader.py
+++ b/magnoliafork/mesh/store_reader.py
@@ -92,17 +92,17 @@
     def _on_success(self) -> None:
         if self._is_store_unavailable:
             self._is_store_unavailable = False
-            self._table.record_outage_end(0.0)
             self._log.info(
                 Event.STORE_AVAILABLE, view_revision=self._view.revision
             )
         self._backoff_s = MIN_BACKOFF_S
-        self._view_sync.last_store_answer_s = self._clock()
+        now_s = self._clock()
+        self._view_sync.last_store_answer_s = now_s
+        self._table.record_store_answer(now_s)
 
     async def _on_failure(self, detail: str) -> None:
         if not self._is_store_unavailable:
             self._is_store_unavailable = True
-            self._table.record_outage()
             self._view_sync.last_store_answer_s = float("-inf")
             self._view_sync.announce()
         self._log.warning(
--- a/magnoliafork/mesh/upstream_table.py
+++ b/magnoliafork/mesh/upstream_table.py
@@ -5,52 +5,77 @@
 the view does not mean that the upstream is gone.
 """
 
+import dataclasses
 from collections.abc import Callable, Sequence
 
 from magnoliafork.mesh.model import UpstreamEntry
 from magnoliafork.mesh.view import Change, MeshView
 
+# An answer of the store ends an outage if no node had one for a longer time.
+# Two answers of an available store to one reader are at most 2.2 s apart;
+# entries expire after three missing writes, which takes longer.
+MIN_OUTAGE_S = 2.5
 # Time after an outage in which the entry of a running upstream is written
 # again, with a margin for the delay until this node gets it.
 REWRITE_WINDOW_S = 2.3
 # Time after an outage in which removals may be a consequence of it; the effects
 # of the outage reach this node within that time.
 OUTAGE_EFFECT_WINDOW_S = 0.6
-# Reports of an outage whose ends lie closer together are about the same one.
-# Each report has aged by its transfer, so that taking the latest end would
-# postpone it with every report that the nodes send each other.
-SAME_OUTAGE_S = 0.5
-# Longer times since an outage are reported as this.
-MAX_OUTAGE_AGE_S = 3600.0
+# Time in which a removal reaches this node and its last requests reach the
+# upstream. An upstream that was removed may stop after its drain timeout.
+REMOVAL_DELAY_S = 0.3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ExpiredEntry:
+    """An entry that may have expired in an outage.
+
+    Attributes:
+        entry: The entry as it was.
+        usable_until_s: Loop time until which its upstream may get work.
+    """
+
+    entry: UpstreamEntry
+    usable_until_s: float
 
 
 class UpstreamTable:
     """Upstreams by service, including entries that expired in an outage."""
 
-    def __init__(self, view: MeshView, clock: Callable[[], float]) -> None:
-        """Creates a table that follows a view."""
+    def __init__(
+        self,
+        view: MeshView,
+        clock: Callable[[], float],
+        drain_timeout_s: float,
+    ) -> None:
+        """Creates a table that follows a view.
+
+        Args:
+            view: State that the store publishes.
+            clock: Clock of the loop.
+            drain_timeout_s: Time for which an upstream serves after its entry
+                was removed.
+        """
         self._view = view
         self._clock = clock
-        self._retained: dict[str, UpstreamEntry] = {}
-        self._outage_ended_at_s = clock() - MAX_OUTAGE_AGE_S
-        self._is_store_unavailable = False
+        self._max_use_s = max(0.0, drain_timeout_s - REMOVAL_DELAY_S)
+        self._expired: dict[str, _ExpiredEntry] = {}
+        self._store_answered_at_s: float | None = None
+        self._outage_ended_at_s = float("-inf")
         self.change_count = 0
         view.subscribe(self._on_changes)
 
-    def record_outage(self) -> None:
-        """Records that the store does not answer."""
-        self._is_store_unavailable = True
-
-    def record_outage_end(self, ago_s: float) -> None:
-        """Records that the store became available again some time ago."""
-        self._is_store_unavailable = False
-        ended_at_s = self._clock() - ago_s
-        if ended_at_s > self._outage_ended_at_s + SAME_OUTAGE_S:
-            self._outage_ended_at_s = ended_at_s
+    def record_store_answer(self, at_s: float) -> None:
+        """Records when the store answered a node, this one or another.
 
-    def outage_ended_ago_s(self) -> float:
-        """Returns the time since the last outage ended, at most an hour."""
-        return min(self._clock() - self._outage_ended_at_s, MAX_OUTAGE_AGE_S)
+        A refusal of some nodes is no outage: what the others read is current.
+        """
+        last_s = self._store_answered_at_s
+        if last_s is not None and at_s <= last_s:
+            return
+        if last_s is not None and at_s - last_s > MIN_OUTAGE_S:
+            self._outage_ended_at_s = at_s
+        self._store_answered_at_s = at_s
 
     def of_service(self, service: str) -> tuple[UpstreamEntry, ...]:
         """Returns the upstreams of a service that may get work.
@@ -64,10 +89,14 @@
             for entry in self._view.upstreams_of(service)
             if self._view.upstream_at(entry.host, entry.port) is entry
         ]
-        retained = [e for e in self._retained.values() if e.service == service]
+        expired = [
+            e.entry
+            for e in self._expired.values()
+            if e.entry.service == service
+        ]
         return tuple(
             entry
-            for entry in (*known, *retained)
+            for entry in (*known, *expired)
             if entry.is_ready and entry.zone not in zones_out
         )
 
@@ -76,44 +105,43 @@
         known = self._view.upstream_at(host, port)
         if known is not None:
             return known
-        for entry in self._retained.values():
-            if (entry.host, entry.port) == (host, port):
-                return entry
+        for expired in self._expired.values():
+            if (expired.entry.host, expired.entry.port) == (host, port):
+                return expired.entry
         return None
 
     def tick(self, now_s: float) -> None:
         """Drops expired entries that were not written again in time."""
-        if self._retained and not self._keeps_retained(now_s):
-            self._retained.clear()
-            self.change_count += 1
-
-    def _keeps_retained(self, now_s: float) -> bool:
-        return (
-            self._is_store_unavailable
-            or now_s < self._outage_ended_at_s + REWRITE_WINDOW_S
-        )
-
-    def _may_have_expired(self, now_s: float) -> bool:
-        return (
-            self._is_store_unavailable
-            or now_s < self._outage_ended_at_s + OUTAGE_EFFECT_WINDOW_S
-        )
+        for upstream_id, expired in list(self._expired.items()):
+            if now_s >= expired.usable_until_s:
+                del self._expired[upstream_id]
+                self.change_count += 1
 
     def _on_changes(self, changes: Sequence[Change]) -> None:
         now_s = self._clock()
+        may_have_expired = (
+            now_s < self._outage_ended_at_s + OUTAGE_EFFECT_WINDOW_S
+        )
+        usable_until_s = min(
+            self._outage_ended_at_s + REWRITE_WINDOW_S,
+            now_s + self._max_use_s,
+        )
         for change in changes:
             before, after = change.before, change.after
             if isinstance(after, UpstreamEntry):
-                self._retained.pop(after.upstream_id, None)
-                self._drop_retained_at(after)
+                self._expired.pop(after.upstream_id, None)
+                self._drop_expired_at(after)
                 continue
             if not isinstance(before, UpstreamEntry) or not before.is_ready:
                 continue
-            if self._may_have_expired(now_s):
-                self._retained[before.upstream_id] = before
+            if may_have_expired:
+                self._expired[before.upstream_id] = _ExpiredEntry(
+                    before, usable_until_s
+                )
         self.change_count += 1
 
-    def _drop_retained_at(self, entry: UpstreamEntry) -> None:
-        for retained in list(self._retained.values()):
-            if (retained.host, retained.port) == (entry.host, entry.port):
-                del self._retained[retained.upstream_id]
+    def _drop_expired_at(self, entry: UpstreamEntry) -> None:
+        for upstream_id, expired in list(self._expired.items()):
+            known = expired.entry
+            if (known.host, known.port) == (entry.host, entry.port):
+                del self._expired[upstream_id]
--- a/magnoliafork/mesh/view_sync.py
+++ b/magnoliafork/mesh/view_sync.py
@@ -41,6 +41,8 @@
 # Announced age of the last store answer if a node does not read the store or
 # its reads fail.
 NO_STORE_ACCESS_MS = 3_600_000
+# Announced time since an outage; it is read by earlier releases only.
+NO_OUTAGE_MS = 3_600_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -236,7 +238,7 @@
         return messages.ViewAnnounce(
             self._view.revision,
             age_ms,
-            int(self._table.outage_ended_ago_s() * 1000),
+            NO_OUTAGE_MS,
             max(1, int(min(view_age_s * 1000, NO_STORE_ACCESS_MS))),
             self._view_reader,
         )
@@ -278,7 +280,6 @@
             case messages.ViewAnnounce():
                 peer.revision = message.revision
                 peer.store_answer_at_s = now_s - message.source_age_ms / 1000
-                self._table.record_outage_end(message.outage_ended_ms / 1000)
                 self._record_view_age(message, now_s)
                 self._catch_up(now_s)
             case messages.ViewRequest():
@@ -292,6 +293,10 @@
         self, message: messages.ViewAnnounce, now_s: float
     ) -> None:
         fresh_at_s = now_s - message.view_age_ms / 1000
+        # Earlier releases announce 0, and a node that knows of no answer the
+        # maximum.
+        if 0 < message.view_age_ms < NO_STORE_ACCESS_MS:
+            self._table.record_store_answer(fresh_at_s)
         if fresh_at_s > self._view_fresh_at_s:
             self._view_fresh_at_s = fresh_at_s
             self._view_reader = message.view_reader
--- a/magnoliafork/tests/mesh/test_receiver.py
+++ b/magnoliafork/tests/mesh/test_receiver.py
@@ -75,7 +75,7 @@
     def __init__(self, upstream: FakeUpstream | None = None) -> None:
         loop = asyncio.get_running_loop()
         self.published = PublishedState()
-        self.table = UpstreamTable(self.published.view, loop.time)
+        self.table = UpstreamTable(self.published.view, loop.time, 2.0)
         self.upstream = upstream or FakeUpstream()
         self.receiver = MeshReceiver(
             (OWN.host, OWN.port),
@@ -412,7 +412,7 @@
             (OWN.host, OWN.port),
             INCARNATION,
             published.view,
-            UpstreamTable(published.view, loop.time),
+            UpstreamTable(published.view, loop.time, 2.0),
             upstream,
             PlatformHeaderCodec(),
             COLD_RATE_FACTOR,
--- a/magnoliafork/tests/mesh/test_sender.py
+++ b/magnoliafork/tests/mesh/test_sender.py
@@ -87,7 +87,7 @@
         loop = asyncio.get_running_loop()
         self.latencies: list[tuple[str, float]] = []
         self.published = PublishedState()
-        table = UpstreamTable(self.published.view, loop.time)
+        table = UpstreamTable(self.published.view, loop.time, 2.0)
         self.peers = FakePeers(script)
         self.sender = MeshSender(
             "joliette",
--- a/magnoliafork/tests/mesh/test_upstream_table.py
+++ b/magnoliafork/tests/mesh/test_upstream_table.py
@@ -2,9 +2,17 @@
 
 import dataclasses
 
-from magnoliafork.mesh.upstream_table import REWRITE_WINDOW_S, UpstreamTable
+from magnoliafork.mesh.upstream_table import (
+    OUTAGE_EFFECT_WINDOW_S,
+    REMOVAL_DELAY_S,
+    REWRITE_WINDOW_S,
+    UpstreamTable,
+)
 from magnoliafork.tests.mesh.builders import PublishedState, entry
 
+DRAIN_TIMEOUT_S = 2.0
+OUTAGE_S = 5.0
+
 
 class Clock:
     """Clock that a test sets."""
@@ -18,10 +26,16 @@
 
 def make() -> tuple[PublishedState, UpstreamTable, Clock]:
     published, clock = PublishedState(), Clock()
-    table = UpstreamTable(published.view, clock)
+    table = UpstreamTable(published.view, clock, DRAIN_TIMEOUT_S)
+    table.record_store_answer(clock.now_s)
     return published, table, clock
 
 
+def end_outage(table: UpstreamTable, clock: Clock) -> None:
+    clock.now_s += OUTAGE_S
+    table.record_store_answer(clock.now_s)
+
+
 def ids(table: UpstreamTable) -> list[str]:
     return [e.upstream_id for e in table.of_service("catalogue")]
 
@@ -37,9 +51,7 @@
     """A service had no upstream for two seconds after an outage."""
     published, table, clock = make()
     published.announce(entry("a"))
-    table.record_outage()
-    clock.now_s += 5
-    table.record_outage_end(0.0)
+    end_outage(table, clock)
     published.withdraw(entry("a"))
     assert ids(table) == ["a"]
     clock.now_s += REWRITE_WINDOW_S + 0.1
@@ -51,27 +63,36 @@
     """Removed upstreams got requests for longer than an outage excuses."""
     published, table, clock = make()
     published.announce(entry("a"))
-    table.record_outage_end(0.0)
+    end_outage(table, clock)
     published.withdraw(entry("a"))
-    _, peer, _ = make()
-    peer._clock = clock
+    answered_at_s = clock.now_s
     transfer_s = 0.02
-    for _ in range(60):
-        ago_s = table.outage_ended_ago_s()
-        clock.now_s += transfer_s
-        peer.record_outage_end(ago_s)
-        ago_s = peer.outage_ended_ago_s()
+    for _ in range(120):
         clock.now_s += transfer_s
-        table.record_outage_end(ago_s)
+        # Each transfer makes the announced answer look that much newer.
+        answered_at_s += transfer_s
+        table.record_store_answer(answered_at_s)
+        table.tick(clock.now_s)
+    assert clock.now_s > 1000.0 + OUTAGE_S + REWRITE_WINDOW_S
+    assert ids(table) == []
+
+
+def test_removed_upstream_is_not_used_beyond_its_drain_timeout() -> None:
+    """Requests reached upstreams that had left the store too long before."""
+    published, table, clock = make()
+    published.announce(entry("a"))
+    end_outage(table, clock)
+    clock.now_s += OUTAGE_EFFECT_WINDOW_S - 0.01
+    published.withdraw(entry("a"))
+    clock.now_s += DRAIN_TIMEOUT_S - REMOVAL_DELAY_S
     table.tick(clock.now_s)
-    assert clock.now_s > 1000.0 + REWRITE_WINDOW_S
     assert ids(table) == []
 
 
 def test_expired_entry_that_is_written_again_is_not_listed_twice() -> None:
     published, table, clock = make()
     published.announce(entry("a"))
-    table.record_outage_end(0.0)
+    end_outage(table, clock)
     published.withdraw(entry("a"))
     published.announce(entry("a"))
     assert ids(table) == ["a"]
@@ -82,20 +103,20 @@
 
 def test_expired_entry_is_dropped_when_its_address_is_used_again() -> None:
     """The new upstream at the address may belong to another service."""
-    published, table, _ = make()
+    published, table, clock = make()
     old = entry("a", host="10.0.0.9")
     published.announce(old)
-    table.record_outage_end(0.0)
+    end_outage(table, clock)
     published.withdraw(old)
     published.announce(entry("b", host="10.0.0.9", service="orders"))
     assert ids(table) == []
 
 
 def test_entry_of_a_draining_upstream_is_not_kept_after_an_outage() -> None:
-    published, table, _ = make()
+    published, table, clock = make()
     draining = entry("a", is_ready=False)
     published.announce(draining)
-    table.record_outage_end(0.0)
+    end_outage(table, clock)
     published.withdraw(draining)
     assert table.at(draining.host, draining.port) is None
 
@@ -104,7 +125,7 @@
     """An upstream that leaves later must not get work after its removal."""
     published, table, clock = make()
     published.announce(entry("a"))
-    table.record_outage_end(0.0)
+    end_outage(table, clock)
     clock.now_s += 1.0
     published.withdraw(entry("a"))
     assert ids(table) == []
--- a/magnoliafork/tests/mesh/test_view_sync.py
+++ b/magnoliafork/tests/mesh/test_view_sync.py
@@ -97,7 +97,7 @@
         self.reads_store = True
         self.view = MeshView(cluster.item_codec.decode)
         clock = lambda: cluster.now_s  # noqa: E731
-        self.table = UpstreamTable(self.view, clock)
+        self.table = UpstreamTable(self.view, clock, 2.0)
         log = EventLog("error", io.StringIO())
         self.view_sync = ViewSync(
             host, host[0], self.view, self.table, self, clock, log
