Read the store without a wait after a failure

A reader whose read had failed went on with watches of 2 s. If nothing changed, the first answer after an outage came 2 s after the store was back; entries that expired meanwhile counted as expired in the outage for that much longer, and a silent store cost 2.8 s for each try instead of 0.8 s.

Now a reader asks without a wait until it has an answer. The number of calls while the store refuses is as before, since the pause between them is.

--- a/magnoliafork/mesh/store_reader.py
+++ b/magnoliafork/mesh/store_reader.py
@@ -77,7 +77,9 @@
         self._view.apply(result)
 
     async def _watch(self) -> None:
-        wait_s = WATCH_WAIT_S if self._view_sync.is_reader else 0.0
+        # After a failure, an answer shows at once that the store is available.
+        can_wait = self._view_sync.is_reader and not self._is_store_unavailable
+        wait_s = WATCH_WAIT_S if can_wait else 0.0
         result = await self._store.watch(self._view.revision, wait_s)
         if isinstance(result, HistoryGone):
             self._needs_full_read = True
--- a/magnoliafork/tests/mesh/test_store_reader.py
+++ b/magnoliafork/tests/mesh/test_store_reader.py
@@ -8,7 +8,7 @@
 import pytest
 
 from magnoliafork.mesh.published_store import HistoryGone, StoreUnavailable
-from magnoliafork.mesh.store_reader import StoreReader
+from magnoliafork.mesh.store_reader import MAX_BACKOFF_S, StoreReader
 from magnoliafork.mesh.upstream_table import UpstreamTable
 from magnoliafork.mesh.view import MeshView, ViewDelta
 from magnoliafork.mesh.view_sync import ViewSync
@@ -232,6 +232,23 @@
     run(test, seed)
 
 
+@seeds
+def test_end_of_an_outage_is_noticed_without_a_change(seed: int) -> None:
+    """A watch that waits for changes delays the news by two seconds."""
+
+    async def test(fleet: Fleet) -> None:
+        fleet.store.refused = set(HOSTS)
+        await asyncio.sleep(9)
+        fleet.store.refused = set()
+        await asyncio.sleep(1.5 * MAX_BACKOFF_S + TICK_S)
+        assert any(
+            node.view_sync.has_store_access(host)
+            for host, node in fleet.nodes.items()
+        )
+
+    run(test, seed)
+
+
 @seeds
 def test_entry_that_expires_in_an_outage_stays_in_use(seed: int) -> None:
     """A service had no upstream for two seconds after an outage."""
