--- a/magnoliafork/tests/mesh/test_receiver.py
+++ b/magnoliafork/tests/mesh/test_receiver.py
@@ -134,6 +134,8 @@
 
 
 def test_upstream_never_runs_more_than_its_slots() -> None:
+    """More requests than slots would slow down all callers of an upstream."""
+
     async def test() -> None:
         harness = await ReceiverHarness().announced()
         replies = await asyncio.gather(
@@ -177,6 +179,8 @@
 
 
 def test_upstream_counts_as_cold_after_it_was_unreachable() -> None:
+    """A restarted upstream would crash under the load of a warm one."""
+
     async def test() -> None:
         harness = await ReceiverHarness(FakeUpstream(work_s=0.01)).announced()
         harness.upstream.is_up = False
@@ -206,6 +210,8 @@
 
 
 def test_upstream_counts_as_cold_once_all_connections_are_lost() -> None:
+    """An upstream that restarts between requests would crash under load."""
+
     async def test() -> None:
         harness = await ReceiverHarness(FakeUpstream(work_s=0.001)).announced()
         harness.upstream.cold_left_s = 9.0
@@ -219,6 +225,8 @@
 
 
 def test_upstream_counts_as_cold_when_its_zone_returns() -> None:
+    """Upstreams of a zone back in service would crash under the full load."""
+
     async def test() -> None:
         harness = await ReceiverHarness(FakeUpstream(work_s=0.001)).announced()
         harness.published.evacuate_zone(OWN.zone)
@@ -239,6 +247,8 @@
 
 
 def test_draining_upstream_gets_nothing_from_outdated_senders() -> None:
+    """A drained upstream would get requests of senders with an old view."""
+
     async def test() -> None:
         harness = await ReceiverHarness().announced()
         harness.published.announce(entry("a", host=OWN.host, is_ready=False))
@@ -251,6 +261,8 @@
 
 
 def test_queued_requests_are_refused_when_the_upstream_drains() -> None:
+    """Queued requests would start on a drained upstream and delay its stop."""
+
     async def test() -> None:
         harness = await ReceiverHarness().announced()
         tasks = [harness.call(f"r{n}") for n in range(8)]
@@ -277,6 +289,8 @@
 
 
 def test_cancelled_idempotent_request_is_stopped_at_the_upstream() -> None:
+    """Abandoned requests would hold slots that other callers need."""
+
     async def test() -> None:
         harness = await ReceiverHarness(FakeUpstream(work_s=1.0)).announced()
         task = harness.call()
@@ -290,6 +304,8 @@
 
 
 def test_cancelled_queued_request_is_never_run() -> None:
+    """A request would run after its caller has given up on it."""
+
     async def test() -> None:
         harness = await ReceiverHarness(FakeUpstream(work_s=0.2)).announced()
         tasks = [harness.call(f"r{n}", repeatable=False) for n in range(6)]
@@ -303,6 +319,8 @@
 
 
 def test_request_id_runs_once_however_often_it_arrives() -> None:
+    """An unrepeatable request that arrives again would run a second time."""
+
     async def test() -> None:
         harness = await ReceiverHarness().announced()
         first = harness.call("same", repeatable=False)
@@ -335,12 +353,7 @@
 
 
 def test_fence_for_an_earlier_process_is_not_answered_with_never_ran() -> None:
-    """A new process cannot know what its predecessor has run.
-
-    A node was killed while its upstream ran a request. The new process
-    answered the fence from its empty ledger, and the caller was told that the
-    request had not run.
-    """
+    """A restarted node said from its empty ledger that a request never ran."""
 
     async def test() -> None:
         harness = await ReceiverHarness().announced()
@@ -353,6 +366,8 @@
 
 
 def test_fence_waits_for_a_running_request() -> None:
+    """A running request would be reported as not run and sent elsewhere."""
+
     async def test() -> None:
         harness = await ReceiverHarness().announced()
         harness.call("run", repeatable=False)
@@ -365,6 +380,8 @@
 
 
 def test_lost_answer_is_an_unknown_outcome_and_not_a_refusal() -> None:
+    """A caller would be told that a request which may have run did not run."""
+
     async def test() -> None:
         harness = await ReceiverHarness().announced()
         harness.upstream.result = UpstreamUnknown("reset", True)
@@ -375,6 +392,8 @@
 
 
 def test_upstream_gets_no_request_after_its_deadline() -> None:
+    """An upstream would run requests whose callers no longer wait."""
+
     async def test() -> None:
         harness = await ReceiverHarness(FakeUpstream(work_s=0.5)).announced()
         tasks = [
@@ -390,6 +409,8 @@
 
 
 def test_shutdown_refuses_new_requests_and_finishes_running_ones() -> None:
+    """A stopping node would cut running requests and accept new ones."""
+
     async def test() -> None:
         harness = await ReceiverHarness(FakeUpstream(work_s=1.0)).announced()
         running = harness.call("r1")
@@ -404,6 +425,8 @@
 
 
 def test_node_without_a_configuration_refuses() -> None:
+    """Logs of a starting node would blame a missing upstream for refusals."""
+
     async def test() -> None:
         loop = asyncio.get_running_loop()
         published = PublishedState()
