--- a/magnoliafork/tests/mesh/test_sender.py
+++ b/magnoliafork/tests/mesh/test_sender.py
@@ -125,6 +125,8 @@
 
 
 def test_refused_request_is_retried_elsewhere_without_retry_budget() -> None:
+    """Callers would be refused while another upstream has free slots."""
+
     async def test() -> None:
         setup = SenderSetup(
             scripted(refused("drained"), refused("overloaded"), answered()),
@@ -137,6 +139,8 @@
 
 
 def test_latency_of_answers_is_recorded() -> None:
+    """Operators would see no latencies of a service in the metrics."""
+
     async def test() -> None:
         setup = SenderSetup(scripted(answered()))
         await setup.send()
@@ -146,6 +150,8 @@
 
 
 def test_request_refused_by_all_upstreams_returns_the_shortest_wait() -> None:
+    """Callers would retry later than the first upstream could serve them."""
+
     async def test() -> None:
         setup = SenderSetup(
             scripted(
@@ -162,6 +168,8 @@
 
 
 def test_unrepeatable_request_that_a_fence_shows_not_run_is_retried() -> None:
+    """A broken link would fail requests that have not run anywhere."""
+
     async def test() -> None:
         setup = SenderSetup(
             scripted(LinkFailure(True, 7, "reset"), answered()),
@@ -192,6 +200,8 @@
 
 
 def test_repeatable_request_with_an_unknown_outcome_is_retried() -> None:
+    """The crash of one upstream would fail requests that may run again."""
+
     async def test() -> None:
         setup = SenderSetup(
             scripted(messages.CallUnknown(1, "upstream_broke"), answered())
@@ -217,6 +227,8 @@
 
 
 def test_requests_reach_no_more_upstreams_than_the_route_allows() -> None:
+    """A request that crashes upstreams would be sent to all of them."""
+
     async def test() -> None:
         setup = SenderSetup(
             scripted(messages.CallUnknown(1, "upstream_broke")),
@@ -229,6 +241,8 @@
 
 
 def test_retries_of_a_failing_service_stay_within_the_budget() -> None:
+    """Retries would multiply the load of a service that already fails."""
+
     async def test() -> None:
         setup = SenderSetup(
             scripted(messages.CallUnknown(1, "upstream_broke")),
@@ -246,6 +260,8 @@
 
 
 def test_hedge_answers_while_the_first_upstream_is_slow() -> None:
+    """One slow upstream would make its callers wait until their deadline."""
+
     async def test() -> None:
         first: list[str] = []
 
@@ -265,6 +281,8 @@
 
 
 def test_unrepeatable_request_is_never_hedged() -> None:
+    """A request that must not run twice would run on two upstreams."""
+
     async def test() -> None:
         async def script(_: str, __: messages.CallRequest) -> Reply:
             await asyncio.sleep(1.0)
@@ -278,6 +296,8 @@
 
 
 def test_outcome_is_returned_at_the_timeout_of_the_route() -> None:
+    """A caller would wait without an outcome while an upstream hangs."""
+
     async def test() -> None:
         async def script(_: str, __: messages.CallRequest) -> Reply:
             await asyncio.sleep(60)
@@ -308,6 +328,8 @@
 
 
 def test_refused_request_is_not_moved_to_another_service_of_a_split() -> None:
+    """Overload of one service would change the split that operators set."""
+
     async def test() -> None:
         asked: list[str] = []
 
@@ -329,6 +351,8 @@
 
 @pytest.mark.parametrize("is_repeatable", [True, False])
 def test_cancelled_request_ends_its_attempt(is_repeatable: bool) -> None:
+    """Attempts for callers that have gone would go on until the timeout."""
+
     async def test() -> None:
         ended = asyncio.Event()
 
