--- a/magnoliafork/tests/mesh/test_cold_rate_limiter.py
+++ b/magnoliafork/tests/mesh/test_cold_rate_limiter.py
@@ -41,6 +41,7 @@
 
 
 def test_warm_upstream_is_not_limited() -> None:
+    """Callers would be refused while a warm upstream has free slots."""
     limiter = ColdRateLimiter(COLD_RATE_FACTOR)
     limiter.set_cold_time(0.0, now_s=100.0)
     sent = send_greedily(limiter, 1.0, random.Random(1))
@@ -58,6 +59,7 @@
 
 
 def test_published_cold_time_only_extends_the_known_one() -> None:
+    """An outdated entry would lift the limit of an upstream still cold."""
     limiter = ColdRateLimiter(COLD_RATE_FACTOR)
     limiter.set_cold_time(0.5, now_s=0.0)
     limiter.extend_cold_time(3.0, now_s=0.2)
@@ -77,6 +79,7 @@
 
 
 def test_service_without_a_rate_has_no_limit() -> None:
+    """The first request to a service without a rate would have to wait."""
     assert (
         ColdRateLimiter(COLD_RATE_FACTOR).wait_s(0.0, now_s=1.0, is_short=False)
         == 0.0
@@ -99,6 +102,7 @@
 
 
 def test_long_requests_use_the_whole_limit_without_short_calls() -> None:
+    """Callers would be refused for a reserve that no short call uses."""
     sent = send_greedily(
         ColdRateLimiter(COLD_RATE_FACTOR), 1.0, random.Random(1)
     )
--- a/magnoliafork/tests/mesh/test_work_queue.py
+++ b/magnoliafork/tests/mesh/test_work_queue.py
@@ -89,6 +89,7 @@
 
 
 def test_below_capacity_nothing_is_refused() -> None:
+    """Callers would be refused although the upstream has capacity left."""
     result = replay(rate_per_s=0.5 * SLOTS / WORK_S, seconds=60, seed=1)
     assert result.refused == 0
     assert result.expired == 0
@@ -116,6 +117,7 @@
 
 
 def test_request_that_cannot_meet_its_deadline_is_refused() -> None:
+    """A slot would go to a request whose answer comes after its deadline."""
     queue: WorkQueue[int] = WorkQueue()
     call = WaitingCall(1, 10.0, 10.02, 0.1, 10.4)
     refusal = queue.refusal(call, Capacity(4, (), 0.0), now_s=10.0)
@@ -130,6 +132,7 @@
 
 
 def test_cold_upstream_admits_what_its_rate_limit_serves_in_time() -> None:
+    """Requests would wait for the cold limit until their answers are late."""
     queue: WorkQueue[int] = WorkQueue()
     capacity = Capacity(4, (), rate_limit_per_s=10.0)
     admitted = 0
@@ -161,6 +164,7 @@
 
 
 def test_short_call_overtakes_requests_that_wait_for_the_cold_limit() -> None:
+    """Requests ended with 500 because cold upstreams refused their calls."""
     queue: WorkQueue[str] = WorkQueue()
     queue.push(WaitingCall("browse", 10.1, 12.0, 0.3, 10.4))
     queue.push(WaitingCall("nested", 10.2, 12.0, 0.03, 10.4, is_short=True))
@@ -171,6 +175,7 @@
 
 
 def test_short_calls_of_running_requests_go_first() -> None:
+    """A running request would fail while its call waits behind new ones."""
     queue: WorkQueue[str] = WorkQueue()
     browse_s = due_s(10.0, 0.4, 2, is_late=False)
     nested_s = due_s(10.05, 0.12, 0, is_late=False)
@@ -200,11 +205,7 @@
 
 
 def test_most_answers_meet_their_target_in_overload_with_retries() -> None:
-    """Retries must not make every answer late.
-
-    The load is 1.8 times the capacity and each caller retries up to twice. The
-    target is counted from the first attempt.
-    """
+    """When callers retried in an overload, a third of the answers was late."""
     rng = random.Random(11)
     queue: WorkQueue[Caller] = WorkQueue()
     running: list[tuple[float, int, Caller]] = []
@@ -266,11 +267,7 @@
 
 
 def test_short_call_is_admitted_beside_long_running_requests() -> None:
-    """The wait is the time until one slot is free, not until all are.
-
-    The time until all twelve slots were free was taken for the wait. Calls of
-    running requests were refused, and each refusal failed the whole request.
-    """
+    """Calls were refused for the wait until all slots, not one, were free."""
     queue: WorkQueue[str] = WorkQueue()
     left_s = tuple(0.05 * number for number in range(1, 13))
     capacity = Capacity(12, left_s, rate_limit_per_s=0.0, longest_work_s=0.6)
@@ -281,10 +278,7 @@
 
 
 def test_short_call_waits_longer_than_its_target_allows() -> None:
-    """Refusing it saves little work and fails the request that made it.
-
-    A long request is refused in the same place.
-    """
+    """Refusing it saves little work and fails the request that made it."""
     queue: WorkQueue[str] = WorkQueue()
     capacity = Capacity(4, (0.15,) * 4, 0.0, longest_work_s=0.6)
     due = due_s(10.0, 0.12, 2, is_late=False)
