--- a/magnoliafork/tests/mesh/test_reader_selection.py
+++ b/magnoliafork/tests/mesh/test_reader_selection.py
@@ -27,6 +27,7 @@
 
 
 def test_one_node_of_each_zone_reads() -> None:
+    """Calls to the store would grow with the fleet beyond the allowed rates."""
     default_readers = {ranked[0] for ranked in ZONES.values()}
     assert set(readers_with(default_readers)) == default_readers
 
@@ -53,6 +54,7 @@
 
 
 def test_links_of_a_node_do_not_grow_with_its_zone() -> None:
+    """Announcements in a large zone would take bandwidth from requests."""
     zone = rank_hosts("x", {f"x{n}" for n in range(200)})
     fleet = Fleet(zone[50], "x", {**ZONES, "x": zone})
     assert len(link_targets(fleet, lambda _: True)) <= 3
--- a/magnoliafork/tests/mesh/test_routes.py
+++ b/magnoliafork/tests/mesh/test_routes.py
@@ -31,12 +31,14 @@
     ],
 )
 def test_longest_prefix_wins(path: str, name: str) -> None:
+    """Requests would go to the service of a more general route."""
     found = INDEX.match("Shop.example:80", path)
     assert found is not None
     assert found.name == name
 
 
 def test_unknown_host_has_no_route() -> None:
+    """A request for an unknown host would reach another host's service."""
     assert INDEX.match("other.example", "/a/") is None
 
 
@@ -53,6 +55,7 @@
 
 
 def test_changed_targets_apply_to_the_next_request() -> None:
+    """Requests would reach a service that was removed from the split."""
     split = WeightedSplit(random.Random(3))
     old = route(targets=(WeightedService("x", 1), WeightedService("y", 1)))
     new = route(targets=(WeightedService("y", 1), WeightedService("z", 1)))
--- a/magnoliafork/tests/mesh/test_upstream_selector.py
+++ b/magnoliafork/tests/mesh/test_upstream_selector.py
@@ -80,6 +80,7 @@
 
 
 def test_full_queue_moves_requests_to_another_zone() -> None:
+    """Callers would wait in a full queue while another zone is idle."""
     selector, _ = new_selector()
     record(selector, SAME_ZONE.host, answer(active=4, queued=12))
     record(selector, OTHER_ZONE.host, answer())
@@ -87,6 +88,7 @@
 
 
 def test_old_hint_of_a_full_queue_loses_its_weight() -> None:
+    """Requests would leave the zone long after its queue was served."""
     selector, clock = new_selector()
     record(selector, SAME_ZONE.host, answer(active=4, queued=12))
     record(selector, OTHER_ZONE.host, answer())
@@ -95,6 +97,7 @@
 
 
 def test_failing_upstream_is_avoided_and_tried_again() -> None:
+    """Callers would get errors, or a recovered upstream no requests."""
     selector, clock = new_selector()
     record(selector, SAME_ZONE.host, answer(failed=600))
     record(selector, OTHER_ZONE.host, answer())
@@ -116,6 +119,7 @@
 
 
 def test_refusal_is_respected_until_the_time_that_it_names() -> None:
+    """Requests would lose time at an upstream that refuses them again."""
     selector, clock = new_selector()
     refused = messages.CallRefused(1, "overloaded", 300, 4, 4, "", 4, 100, 0)
     selector.observe(request(), SAME_ZONE.host, 1, refused, 0.1)
@@ -139,6 +143,7 @@
 
 
 def test_own_calls_count_before_any_reply() -> None:
+    """A burst would go to one upstream before any reply shows its load."""
     selector, _ = new_selector()
     peers = [entry(c, host=f"10.0.0.{ord(c)}") for c in "ab"]
     chosen: collections.Counter[str] = collections.Counter()
@@ -151,6 +156,7 @@
 
 
 def test_large_service_compares_few_of_its_upstreams() -> None:
+    """Requests to a large service in one zone would fail in the selection."""
     selector, _ = new_selector()
     many = [
         entry(f"u{n}", host=f"10.1.{n // 250}.{n % 250}") for n in range(900)
@@ -159,6 +165,7 @@
 
 
 def test_excluded_upstreams_are_not_chosen() -> None:
+    """A retry would go to the upstream that has just failed the request."""
     selector, _ = new_selector()
     assert selector.choose((SAME_ZONE,), {SAME_ZONE.host}, PROFILE) is None
 
