--- a/magnoliafork/tests/mesh/test_view.py
+++ b/magnoliafork/tests/mesh/test_view.py
@@ -33,6 +33,7 @@
 
 
 def test_whole_state_removes_items_that_it_does_not_contain() -> None:
+    """Upstreams removed while a node lagged would still get its requests."""
     published = PublishedState()
     published.announce(entry("a"))
     published.announce(entry("b"))
@@ -78,11 +79,7 @@
 
 
 def test_newer_item_of_a_later_page_is_not_overwritten_by_the_log() -> None:
-    """A read in pages takes the revision of its first page.
-
-    A later page may hold a newer item, which a log entry must not replace by
-    an older one.
-    """
+    """Older log entries would set back items read after the first page."""
     item_codec = FakeItemCodec()
     view = MeshView(item_codec.decode)
     newer = item_codec.item("servers/a", 55, entry("a", slots=9))
--- a/magnoliafork/tests/mesh/test_view_codec.py
+++ b/magnoliafork/tests/mesh/test_view_codec.py
@@ -23,6 +23,7 @@
 def test_patch_turns_one_value_into_the_other(
     before: list[bytes], after: list[bytes]
 ) -> None:
+    """Patches that do not fit would make nodes fetch whole values again."""
     old, new = b"".join(before), b"".join(after)
     assert apply_patch(old, make_patch(old, new)) == new
 
@@ -64,6 +65,7 @@
 
 
 def test_follower_takes_a_small_patch_of_a_large_value() -> None:
+    """Each version was sent whole, and new routes got 404 for up to 5 s."""
     view = view_with_versions(1)
     follower = follower_of(view)
     put(view, 2)
@@ -94,6 +96,7 @@
 
 
 def test_follower_far_behind_gets_the_whole_value() -> None:
+    """A node that was cut off for long would get a patch it cannot apply."""
     view = view_with_versions(MAX_HISTORY_VALUES + 3)
     reply = ViewEncoder(view).reply(request(1))
     assert reply.patched_revisions == ()
--- a/magnoliafork/tests/mesh/test_view_sync.py
+++ b/magnoliafork/tests/mesh/test_view_sync.py
@@ -134,6 +134,7 @@
 
 
 def test_fleet_converges_on_one_reader_per_zone() -> None:
+    """A zone would have no reader, or make more store calls than allowed."""
     cluster = FakeCluster()
     assert sorted(h[0] for h in readers_of(cluster)) == sorted(ZONES)
 
@@ -155,10 +156,7 @@
 
 
 def test_nodes_that_start_together_do_not_all_watch_the_store() -> None:
-    """Nodes without links must wait for announcements before they read.
-
-    After a power loss, every node read the store until its links were up.
-    """
+    """After a power loss, every node read the store until its links were up."""
     cluster = FakeCluster(per_zone=8)
     for host in list(cluster.nodes):
         cluster.nodes[host] = FakeNode(cluster, host)
@@ -180,10 +178,7 @@
 
 
 def test_other_zones_send_no_changes_that_the_own_reader_delivers() -> None:
-    """Traffic between zones has a cost.
-
-    Ten versions in quick succession must not cross the zones a second time.
-    """
+    """Changes would cross the zones twice, and that traffic has a cost."""
     cluster = FakeCluster()
     sent: list[ControlMessage] = []
     deliver = cluster.deliver
@@ -208,6 +203,7 @@
 
 
 def test_dead_reader_is_replaced() -> None:
+    """A zone whose reader died would depend on the readers of other zones."""
     cluster = FakeCluster()
     reader = next(h for h in readers_of(cluster) if h[0] == "x")
     cluster.isolated.add(reader)
@@ -245,6 +241,7 @@
 
 
 def test_random_isolation_never_leaves_a_connected_node_lagging() -> None:
+    """A node would keep an old view although its neighbour has the new one."""
     for seed in range(8):
         rng = random.Random(seed)
         cluster = FakeCluster()
