--- a/magnoliafork/tests/mesh/test_http_exchange.py
+++ b/magnoliafork/tests/mesh/test_http_exchange.py
@@ -134,6 +134,7 @@
 
 
 def test_connection_is_reused_and_the_target_is_sent_unchanged() -> None:
+    """Each request would cost a connection, or reach another path."""
     results, upstream = run(answer_normally, count=3)
     assert all(isinstance(r, UpstreamAnswered) for r in results)
     assert upstream.connections == 1
@@ -141,6 +142,7 @@
 
 
 def test_body_is_sent_with_its_content_length() -> None:
+    """The upstream would wait for the end of the body."""
     results, upstream = run(answer_normally, method="POST")
     assert isinstance(results[0], UpstreamAnswered)
     assert "Content-Length: 4\r\n" in upstream.requests[0]
@@ -178,6 +180,8 @@
 def test_success_that_the_upstream_did_not_send_is_not_passed_on(
     head: str,
 ) -> None:
+    """Callers would take an altered answer for a valid one."""
+
     async def forged(
         writer: asyncio.StreamWriter, attempt: str, _: int
     ) -> None:
@@ -199,6 +203,8 @@
 
 @pytest.mark.parametrize("piece_bytes", [1, 7, 1000])
 def test_chunks_are_joined_however_they_arrive(piece_bytes: int) -> None:
+    """Callers would get parts of a body, or bytes of its framing."""
+
     async def chunks(
         writer: asyncio.StreamWriter, attempt: str, _: int
     ) -> None:
@@ -229,6 +235,8 @@
     ],
 )
 def test_malformed_chunks_have_an_unknown_outcome(good: str, bad: str) -> None:
+    """Callers would get a body of the wrong length."""
+
     async def chunks(
         writer: asyncio.StreamWriter, attempt: str, _: int
     ) -> None:
@@ -245,6 +253,8 @@
     [("HTTP/1.1", "HTTP/1.0"), ("Content-L", "Connection: Close\r\nContent-L")],
 )
 def test_connection_of_a_last_answer_is_not_reused(good: str, bad: str) -> None:
+    """The next request would fail on a connection that closes."""
+
     async def last(writer: asyncio.StreamWriter, attempt: str, _: int) -> None:
         writer.write(answer(attempt).decode().replace(good, bad, 1).encode())
 
@@ -254,6 +264,8 @@
 
 
 def test_answer_to_head_has_a_length_but_no_body() -> None:
+    """The node would wait for a body that never comes."""
+
     async def head(writer: asyncio.StreamWriter, attempt: str, _: int) -> None:
         whole = answer(attempt, head="X: y\r\n").decode()
         whole = whole.replace("Length: 5", "Length: 5000000")
@@ -265,6 +277,8 @@
 
 
 def test_interim_answer_precedes_the_answer() -> None:
+    """Callers would get the interim answer as the final one."""
+
     async def interim(
         writer: asyncio.StreamWriter, attempt: str, _: int
     ) -> None:
@@ -276,6 +290,8 @@
 
 
 def test_truncated_answer_is_not_complete() -> None:
+    """Callers would get a part of a body as the whole."""
+
     async def truncate(
         writer: asyncio.StreamWriter, attempt: str, _: int
     ) -> None:
@@ -287,6 +303,8 @@
 
 
 def test_answer_without_length_ends_when_its_connection_closes() -> None:
+    """Complete answers of simple upstreams would count as cut."""
+
     async def unframed(
         writer: asyncio.StreamWriter, attempt: str, _: int
     ) -> None:
@@ -300,6 +318,8 @@
 
 
 def test_answer_without_length_is_not_complete_after_a_reset() -> None:
+    """Callers would get a part of a body as the whole."""
+
     async def reset(writer: asyncio.StreamWriter, attempt: str, _: int) -> None:
         head = f"HTTP/1.1 200 OK\r\n{names.ATTEMPT_ID}: {attempt}\r\n"
         writer.write(f"{head}{names.SEAL}: s\r\n\r\npart".encode())
@@ -315,6 +335,8 @@
 
 
 def test_bytes_that_are_not_http_have_an_unknown_outcome() -> None:
+    """A request that may have run would be sent a second time."""
+
     async def garbage(
         writer: asyncio.StreamWriter, attempt: str, _: int
     ) -> None:
@@ -325,6 +347,8 @@
 
 
 def test_dropped_idle_connection_is_replaced_for_idempotent_requests() -> None:
+    """Callers would get errors when the upstream closes idle connections."""
+
     async def drop(
         writer: asyncio.StreamWriter, attempt: str, count: int
     ) -> None:
@@ -355,6 +379,8 @@
 
 
 def test_request_that_the_upstream_refused_has_not_run() -> None:
+    """A request that may run elsewhere would fail."""
+
     async def refuse(
         writer: asyncio.StreamWriter, attempt: str, _: int
     ) -> None:
@@ -369,6 +395,8 @@
 
 
 def test_error_without_a_not_executed_header_may_have_run() -> None:
+    """A request that may have run would be sent a second time."""
+
     async def fail(writer: asyncio.StreamWriter, attempt: str, _: int) -> None:
         writer.write(
             f"HTTP/1.1 503 No\r\n{names.ATTEMPT_ID}: {attempt}\r\n"
@@ -381,6 +409,8 @@
 
 
 def test_request_on_a_refused_connection_has_not_run() -> None:
+    """A request that ran nowhere would fail as if it might have run."""
+
     async def refused() -> UpstreamResult:
         loop = asyncio.get_running_loop()
         client = UpstreamClient(
@@ -668,6 +698,8 @@
 def test_health_check_of_an_endless_answer_has_no_result(
     flood: Flood, counter: ReadCounter
 ) -> None:
+    """The check would read without end, or its result would be made up."""
+
     async def health(upstream: FloodingUpstream) -> object:
         async with asyncio.timeout(DEADLINE_S):
             result = await client_of(upstream.port).health("/health")
@@ -684,6 +716,8 @@
 def test_endless_bytes_after_an_answer_close_the_connection(
     counter: ReadCounter,
 ) -> None:
+    """The node would read bytes that belong to no request."""
+
     async def send(upstream: FloodingUpstream) -> UpstreamResult | None:
         result = await send_to(upstream.port)
         assert await asyncio.to_thread(upstream.has_seen_ends, 1)
@@ -727,6 +761,7 @@
     ],
 )
 def test_failure_names_the_bound_and_its_number(name: str, bound: int) -> None:
+    """Logs would not tell which limit an upstream exceeded."""
     with flooding(FLOODS[name]) as upstream:
         result = asyncio.run(send_to(upstream.port))
     assert isinstance(result, UpstreamUnknown)
--- a/magnoliafork/tests/mesh/test_upstream_table.py
+++ b/magnoliafork/tests/mesh/test_upstream_table.py
@@ -41,6 +41,7 @@
 
 
 def test_removal_without_an_outage_takes_effect_at_once() -> None:
+    """Requests would fail at upstreams that are gone."""
     published, table, _ = make()
     published.announce(entry("a"))
     published.withdraw(entry("a"))
@@ -90,6 +91,7 @@
 
 
 def test_expired_entry_that_is_written_again_is_not_listed_twice() -> None:
+    """An upstream would get twice its share of requests."""
     published, table, clock = make()
     published.announce(entry("a"))
     end_outage(table, clock)
@@ -113,6 +115,7 @@
 
 
 def test_entry_of_a_draining_upstream_is_not_kept_after_an_outage() -> None:
+    """An upstream that leaves would be taken for a running one."""
     published, table, clock = make()
     draining = entry("a", is_ready=False)
     published.announce(draining)
@@ -132,6 +135,7 @@
 
 
 def test_evacuated_and_draining_upstreams_get_no_work() -> None:
+    """Requests would go to upstreams that are taken out of service."""
     published, table, _ = make()
     published.announce(entry("a"))
     published.announce(dataclasses.replace(entry("b"), zone="rawdon"))
