Drop replies of the view sync that bring nothing new

A node that repeats a request at another peer after 0.4 s gets the first reply as well, when the view is already at or beyond its revision. If a patch in it no longer fitted, because the earlier value is not kept any more, the node logged a malformed frame and requested the changes again without patches: the whole value, if the peer was ahead meanwhile, over the link that had just been too slow for a patch.

Cause: the reply was decoded before its revision was compared with the view's. `MeshView.apply` ignores such a delta, but decoding comes first.

Ruled out: keeping more earlier values. It only delays the same request, and a patch against a value that was removed would still not fit.

A reply at or below the view's revision is now dropped before decoding. The check for peers that are ahead still follows, as it does after a reply that is applied: the reply may have ended the wait for a request.

--- a/magnoliafork/mesh/view_sync.py
+++ b/magnoliafork/mesh/view_sync.py
@@ -304,6 +304,10 @@
     def _on_reply(self, host: str, reply: messages.ViewReply) -> None:
         if host == self._requested_from:
             self._requested_from = ""
+        if reply.revision <= self._view.revision:
+            # The earlier value that a late patch needs may not be kept.
+            self._catch_up(self._clock())
+            return
         delta = decode_reply(reply, self._view)
         if isinstance(delta, str):
             self._log.warning(
--- a/magnoliafork/tests/mesh/test_view_sync.py
+++ b/magnoliafork/tests/mesh/test_view_sync.py
@@ -2,6 +2,7 @@
 
 import io
 import random
+import zlib
 
 import pytest
 
@@ -218,6 +219,21 @@
     )
 
 
+def test_late_reply_with_patches_causes_no_request() -> None:
+    """Guards against fetching the whole state for a reply with nothing new."""
+    cluster = FakeCluster()
+    late = messages.ViewReply(
+        cluster.revision - 2,
+        cluster.revision,
+        ("config",),
+        (cluster.revision,),
+        (zlib.compress(b"patch"),),
+        (cluster.revision - 2,),
+    )
+    cluster.nodes["x1"].view_sync.on_control("x2", late)
+    assert cluster.frames == []
+
+
 def test_node_that_lags_for_too_long_reads_the_store() -> None:
     """A peer may announce a revision and never deliver it."""
     cluster = FakeCluster()
