Keep substitute peers that respond

A node whose peers in its own zone are all lost takes substitutes. It changed them every 2.6 s for as long as its regular peers were away, also when the substitutes responded: each time it closed good connections, opened others, and got the announcements and changes of the view from peers that had just been linked.

Cause: the time since a regular peer was last heard selected the attempt, and nothing looked at the substitutes themselves.

Ruled out: to keep only those of the substitutes that respond and search for the rest. One peer of the zone that responds is enough for regular peers too, and the link to another zone stays.

The next attempt now begins only when none of the current substitutes has been heard for the timeout of a peer.

--- a/magnoliafork/mesh/view_sync.py
+++ b/magnoliafork/mesh/view_sync.py
@@ -185,15 +185,21 @@
             self._linked_at_s = now_s
             self._fallback_attempt = 0
             return targets
-        lost_s = now_s - self._linked_at_s
-        if lost_s > PEER_TIMEOUT_S * (self._fallback_attempt + 1):
+        fallback = self._fallback_targets()
+        if any(self._is_live(h, now_s) for h in fallback):
+            self._linked_at_s = now_s
+        elif now_s - self._linked_at_s > PEER_TIMEOUT_S:
+            self._linked_at_s = now_s
             self._fallback_attempt += 1
+            fallback = self._fallback_targets()
+        return (*targets, *fallback)
+
+    def _fallback_targets(self) -> tuple[str, ...]:
         if not self._fallback_attempt:
-            return targets
-        fallback = reader_selection.fallback_targets(
+            return ()
+        return reader_selection.fallback_targets(
             self._fleet, self._fallback_attempt
         )
-        return (*targets, *fallback)
 
     def _should_read(self, now_s: float) -> bool:
         if reader_selection.is_default_reader(self._fleet):
--- a/magnoliafork/tests/mesh/test_view_sync.py
+++ b/magnoliafork/tests/mesh/test_view_sync.py
@@ -95,6 +95,7 @@
         self.cluster = cluster
         self.host = host
         self.peers: set[str] = set()
+        self.targets: tuple[str, ...] = ()
         self.reads_store = True
         self.view = MeshView(cluster.item_codec.decode)
         clock = lambda: cluster.now_s  # noqa: E731
@@ -116,6 +117,7 @@
         return True
 
     def set_targets(self, instance_ids: tuple[str, ...]) -> None:
+        self.targets = instance_ids
         for other in instance_ids:
             self.peers.add(other)
             self.cluster.nodes[other].peers.add(self.host)
--- a/magnoliafork/tests/mesh/test_view_sync_losses.py
+++ b/magnoliafork/tests/mesh/test_view_sync_losses.py
@@ -7,6 +7,7 @@
 
 from magnoliafork.mesh.reader_selection import rank_hosts
 from magnoliafork.mesh.view import ViewDelta
+from magnoliafork.mesh.view_sync import PEER_TIMEOUT_S
 from magnoliafork.tests.mesh.test_view_sync import (
     ZONES,
     FakeCluster,
@@ -82,6 +83,41 @@
     assert lagging_hosts(cluster) == []
 
 
+def substitutes_of(cluster: ReadingCluster, host: str) -> list[str]:
+    """Loses the peers of a node in its zone and the first three nodes."""
+    node = cluster.nodes[host]
+    in_zone = [peer for peer in node.targets if peer[0] == host[0]]
+    cluster.lose([*in_zone, *cluster.ranked(host[0])[:3]])
+    # Silence of the peers, and the time until they are substituted.
+    cluster.run(3 * PEER_TIMEOUT_S, STEP_S)
+    return [
+        peer
+        for peer in node.targets
+        if peer[0] == host[0] and peer not in cluster.isolated
+    ]
+
+
+def test_substitute_peers_that_respond_are_kept() -> None:
+    """Guards against new connections every few seconds without a need."""
+    cluster = ReadingCluster()
+    host = cluster.ranked("x")[20]
+    substitutes = substitutes_of(cluster, host)
+    assert substitutes
+    for _ in range(10):
+        cluster.run(PEER_TIMEOUT_S, STEP_S)
+        assert set(substitutes) <= set(cluster.nodes[host].targets)
+
+
+def test_substitute_peers_that_are_lost_are_replaced() -> None:
+    """Guards against a node that stays with peers which do not respond."""
+    cluster = ReadingCluster()
+    host = cluster.ranked("x")[20]
+    cluster.lose(substitutes_of(cluster, host))
+    cluster.run(6 * PEER_TIMEOUT_S, STEP_S)
+    targets = cluster.nodes[host].targets
+    assert [p for p in targets if p[0] == "x" and p not in cluster.isolated]
+
+
 def test_other_nodes_read_if_the_first_of_all_zones_cannot() -> None:
     """Nobody read although most machines reached the store."""
     cluster = ReadingCluster()
