Keep the check for idle connections of callers in one place

Whether a connection of a caller waits for a request was read from the private attribute `_waiter` of aiohttp's `RequestHandler`, in two copies. Callers would see it if a new release of the library changed it: a stop would fail, or drop requests that were read and not answered. No test covered the attribute by itself.

Ruled out, public ways: * `RequestHandler.close` stops the wait, but leaves the connection open, drops what arrives and does not tell whether a request had been read. * `finish_response` and the request factory tell when a handler begins and ends, not whether another request has been read meanwhile. * Pausing the transport's reading while the node stops: it stops bodies that have begun as well, and the library resumes reading by itself.

`CallerConnection` is the only copy now.

--- a/magnoliafork/mesh/ingress.py
+++ b/magnoliafork/mesh/ingress.py
@@ -20,6 +20,7 @@
 )
 from magnoliafork.observe.events import Event
 from magnoliafork.observe.logs import EventLog
+from magnoliafork.proxy.caller_connection import CallerConnection
 
 # A body must fit into one frame between nodes.
 MAX_BODY_BYTES = 1_900_000
@@ -51,8 +52,8 @@
         ...
 
 
-class _ServerConnection(web.RequestHandler):
-    """Connection that can tell whether a request of it is unanswered."""
+class _ServerConnection(CallerConnection):
+    """Connection that can tell whether what it has written has left."""
 
     __slots__ = ("_opened_transport",)
 
@@ -62,11 +63,6 @@
         # The base class drops its reference before the buffer is written.
         self._opened_transport = cast("asyncio.Transport", transport)
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether it waits for a request and has read none."""
-        return self._waiter is not None and not self._waiter.done()
-
     @property
     def unsent_bytes(self) -> int:
         """Bytes that were written and have not left the process."""
--- a/magnoliafork/proxy/ingress_runner.py
+++ b/magnoliafork/proxy/ingress_runner.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from magnoliafork.model.request import NotRunReason
+from magnoliafork.proxy.caller_connection import CallerConnection
 from magnoliafork.proxy.ingress import IngressApp
 from magnoliafork.proxy.responses import (
     internal_error_response,
@@ -39,16 +40,11 @@
         transport.close()
 
 
-class _Handler(web.RequestHandler):
+class _Handler(CallerConnection):
     """Connection that adds an outcome to responses to protocol errors."""
 
     __slots__ = ()
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether it waits for a request and has read none."""
-        return self._waiter is not None and not self._waiter.done()
-
     def handle_error(
         self,
         request: web.BaseRequest,
