Read the cold state only from answers that tell it

A health check whose answer named an upstream's id counted as its result whatever the status was. Without a cold time in it, as in a 404, a 500 or the 503 of an upstream that has no free slot for the check, the upstream counted as warm: it would get requests at its full rate while it was cold, which it may not survive, and the pause after refused connections ended.

Cause: `UpstreamClient.health` passed the headers on without the status. An answer without an id was no result before either, so that a 404 of another server was harmless unless it named one.

Ruled out: to accept status 200 alone. An upstream that drains or fails answers 503 and still knows how long it stays cold; without its statement it would count as cold until it is healthy again.

The status is now passed to the header codec. A 200 tells the cold state, with no cold time stated as a warm one; a 503 only if it states the time; any other status does not, and the check is repeated. Existing tests of the codec pass the status 200 and check the whole result.

--- a/magnoliafork/mesh/header_codec.py
+++ b/magnoliafork/mesh/header_codec.py
@@ -85,6 +85,11 @@
         """Returns the headers of an answer to send back to the caller."""
         ...
 
-    def parse_health_headers(self, headers: RawHeaders) -> HealthHeaders:
-        """Parses the headers of the answer to a health check."""
+    def parse_health_headers(
+        self, status: int, headers: RawHeaders
+    ) -> HealthHeaders | None:
+        """Parses the headers of the answer to a health check.
+
+        Returns None if the answer does not tell whether the upstream is cold.
+        """
         ...
--- a/magnoliafork/mesh/upstream.py
+++ b/magnoliafork/mesh/upstream.py
@@ -97,7 +97,10 @@
         ...
 
     async def health(self, path: str) -> HealthHeaders | None:
-        """Sends a health check; returns None without an answer."""
+        """Sends a health check.
+
+        Returns None if no answer tells whether the upstream is cold.
+        """
         ...
 
 
@@ -154,7 +157,7 @@
         return self._classify(call, await self._exchange(connection, call))
 
     async def health(self, path: str) -> HealthHeaders | None:
-        """Sends a health check; returns None without an answer."""
+        """Sends a health check; see `Upstream.health`."""
         connection = await self._connect()
         if isinstance(connection, str):
             return None
@@ -169,7 +172,9 @@
         self._keep(connection)
         if isinstance(answer, HttpFailure):
             return None
-        return self._header_codec.parse_health_headers(answer.headers)
+        return self._header_codec.parse_health_headers(
+            answer.status, answer.headers
+        )
 
     def _take_idle(self, max_idle_s: float) -> HttpConnection | None:
         now_s = self._clock()
--- a/magnoliafork/platform/header_codec.py
+++ b/magnoliafork/platform/header_codec.py
@@ -14,6 +14,10 @@
 
 _SUCCESS = range(200, 300)
 _MISDIRECTED = 421
+_HEALTHY = 200
+# Of an upstream that drains or fails, or that refuses the check for want of a
+# slot.
+_UNHEALTHY = 503
 _SET_BY_NODES = frozenset(
     name.lower()
     for name in (
@@ -83,12 +87,18 @@
         connection = [v for n, v in pairs if n.lower() == "connection"]
         return without_hop_by_hop(pairs, connection)
 
-    def parse_health_headers(self, headers: RawHeaders) -> HealthHeaders:
+    def parse_health_headers(
+        self, status: int, headers: RawHeaders
+    ) -> HealthHeaders | None:
         """Parses the headers of the answer to a health check."""
         found = _lower(headers)
+        cold_ms = found.get(names.COLD_MS.lower())
+        if status == _HEALTHY:
+            cold_ms = cold_ms or "0"
+        if cold_ms is None or status not in (_HEALTHY, _UNHEALTHY):
+            return None
         return HealthHeaders(
-            found.get(names.INSTANCE_ID.lower(), ""),
-            _seconds(found.get(names.COLD_MS.lower(), "0")),
+            found.get(names.INSTANCE_ID.lower(), ""), _seconds(cold_ms)
         )
 
 
--- a/magnoliafork/tests/platform/test_header_codec.py
+++ b/magnoliafork/tests/platform/test_header_codec.py
@@ -1,5 +1,6 @@
 """Headers of requests and answers on the platform."""
 
+from magnoliafork.mesh.header_codec import HealthHeaders
 from magnoliafork.platform import names
 from magnoliafork.platform.header_codec import PlatformHeaderCodec
 
@@ -64,13 +65,11 @@
 
 def test_health_headers_are_parsed() -> None:
     health_headers = CODEC.parse_health_headers(
-        [(names.INSTANCE_ID, "i-1"), (names.COLD_MS, "1500")]
-    )
-    assert health_headers.upstream_id == "i-1"
-    assert health_headers.cold_left_s == 1.5
-    assert (
-        CODEC.parse_health_headers([(names.COLD_MS, "soon")]).cold_left_s == 0.0
+        200, [(names.INSTANCE_ID, "i-1"), (names.COLD_MS, "1500")]
     )
+    assert health_headers == HealthHeaders("i-1", 1.5)
+    health_headers = CODEC.parse_health_headers(200, [(names.COLD_MS, "soon")])
+    assert health_headers == HealthHeaders("", 0.0)
 
 
 def test_time_that_is_not_finite_counts_as_no_number() -> None:
@@ -78,5 +77,7 @@
     for text in ("inf", "-inf", "nan", "1e400"):
         caller_headers = CODEC.parse_caller_headers([(names.DEADLINE_MS, text)])
         assert caller_headers.remaining_ms == 0
-        health_headers = CODEC.parse_health_headers([(names.COLD_MS, text)])
-        assert health_headers.cold_left_s == 0.0
+        health_headers = CODEC.parse_health_headers(
+            200, [(names.COLD_MS, text)]
+        )
+        assert health_headers == HealthHeaders("", 0.0)
