Refuse CONNECT and end its connection

A caller's CONNECT with a path of a route was passed on to an upstream. Its 2xx answer came back without the body and without a length, as the start of a tunnel; the connection stayed open, and the bytes that followed were taken for requests. That holds for a declared body as well, so that a request in the body of a CONNECT reached the sender as a request of its own. A CONNECT for a host and port got the sender's answer, mostly 404, on a connection in the same state.

Cause: the HTTP parser ends a CONNECT at its head and hands what follows to whoever takes over the connection. Nobody does, and aiohttp then parses it as requests.

Ruled out: a tunnel to an upstream by the node itself. `HttpConnection` reads a CONNECT's answer as any other and does not use the connection again.

CONNECT is now answered 400 at once, passed to nobody, and its connection is closed after the answer. Other targets that are no path needed no change: a host and port with another method is refused by the parser with a 400 and a close; an absolute form and `*` match no route, so that they are answered 404 on a connection that stays usable. `test_routes` holds this now; no test did.

--- a/magnoliafork/mesh/ingress.py
+++ b/magnoliafork/mesh/ingress.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Protocol, cast
 
-from aiohttp import web
+from aiohttp import hdrs, web
 from multidict import CIMultiDict
 
 from magnoliafork.mesh.header_codec import HeaderCodec
@@ -37,6 +37,7 @@
 
 _STATUS_OF_REASON = {
     NotRunReason.NO_ROUTE: 404,
+    NotRunReason.BAD_REQUEST: 400,
     NotRunReason.BODY_TOO_LARGE: 413,
 }
 _SERVICE_UNAVAILABLE = 503
@@ -250,6 +251,11 @@
         request_id = caller_headers.attempt_id or next(self._ids)
         # A caller may reuse an id; ids in the receiver's ledger must be unique.
         unanswered.request_id = f"{request_id}/{next(self._ids)}"
+        if request.method == hdrs.METH_CONNECT:
+            response = _to_response(NotRun(NotRunReason.BAD_REQUEST))
+            # What follows is meant for a tunnel and is not a request.
+            response.force_close()
+            return response
         try:
             body = await request.read()
         except web.HTTPRequestEntityTooLarge:
--- a/magnoliafork/proxy/ingress.py
+++ b/magnoliafork/proxy/ingress.py
@@ -235,6 +235,8 @@
     request: web.BaseRequest, max_header_bytes: int
 ) -> IngressRequest | _Refusal:
     """Checks everything but the body of a request."""
+    if request.method == hdrs.METH_CONNECT:
+        return _bad_request()
     received = request.headers
     parts = split_target(request.raw_path)
     if parts is None or not is_plain_path(parts[1]):
--- a/magnoliafork/tests/mesh/test_ingress.py
+++ b/magnoliafork/tests/mesh/test_ingress.py
@@ -213,6 +213,36 @@
     run(test)
 
 
+HIDDEN_REQUEST = b"GET /hidden/ HTTP/1.1\r\nHost: shop.example\r\n\r\n"
+
+
+@pytest.mark.parametrize("target", ["shop.example:443", "/a/"])
+@pytest.mark.parametrize(
+    "framing",
+    ["", f"Content-Length: {len(HIDDEN_REQUEST)}\r\n"],
+    ids=["tunnel", "body"],
+)
+def test_connect_is_refused_and_ends_its_connection(
+    target: str, framing: str
+) -> None:
+    """Guards against tunnels, and against requests hidden in their bytes."""
+
+    async def test(setup: Setup) -> None:
+        caller = await setup.connect()
+        caller.writer.write(
+            f"CONNECT {target} HTTP/1.1\r\nHost: shop.example\r\n"
+            f"{framing}\r\n".encode()
+            + HIDDEN_REQUEST
+        )
+        answers = await caller.reader.read()
+        assert answers.startswith(b"HTTP/1.1 400 ")
+        assert answers.count(b"HTTP/1.1 ") == 1
+        assert b"connection: close" in answers.lower()
+        assert setup.sender.requests == []
+
+    run(test)
+
+
 def test_idle_connection_for_status_ends_as_soon_as_the_close_begins() -> None:
     """Guards against a close that reads readiness checks and drops them."""
 
--- a/magnoliafork/tests/mesh/test_routes.py
+++ b/magnoliafork/tests/mesh/test_routes.py
@@ -58,3 +58,13 @@
     new = route(targets=(WeightedService("y", 1), WeightedService("z", 1)))
     split.pick(old)
     assert {split.pick(new) for _ in range(10)} == {"y", "z"}
+
+
+@pytest.mark.parametrize(
+    "target", ["http://shop.example/browse/x", "shop.example:443", "*"]
+)
+def test_target_that_is_no_path_matches_no_route(target: str) -> None:
+    """Guards against targets for a proxy that are passed to an upstream."""
+    routes = (route(), route("all", prefix="/"))
+    index = RouteIndex(config(routes=routes))
+    assert index.match("shop.example", target) is None
--- a/magnoliafork/tests/proxy/test_ingress.py
+++ b/magnoliafork/tests/proxy/test_ingress.py
@@ -149,6 +149,8 @@
     "POST /r/%2e%2E/n/a HTTP/1.1",
     "GET /r/a HTTP/1.1\nX-A: \xff",
     "BROKEN",
+    "CONNECT /r/a HTTP/1.1",
+    "CONNECT shop.example:443 HTTP/1.1",
     "GET /r/a HTTP/1.1\nX-A: " + "x" * 9000,
     "POST /n/a HTTP/1.1\nMagnolia-Deadline-Ms: soon",
     "POST /n/a HTTP/1.1\nMagnolia-Deadline-Ms: -1",
