--- a/magnoliafork/mesh/ingress.py
+++ b/magnoliafork/mesh/ingress.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Protocol, cast
 
-from aiohttp import web
+from aiohttp import hdrs, web
 from multidict import CIMultiDict
 
 from magnoliafork.mesh.header_codec import HeaderCodec
@@ -20,6 +20,7 @@
 )
 from magnoliafork.observe.events import Event
 from magnoliafork.observe.logs import EventLog
+from magnoliafork.proxy.caller_connection import CallerConnection
 
 # A body must fit into one frame between nodes.
 MAX_BODY_BYTES = 1_900_000
@@ -36,6 +37,7 @@
 
 _STATUS_OF_REASON = {
     NotRunReason.NO_ROUTE: 404,
+    NotRunReason.BAD_REQUEST: 400,
     NotRunReason.BODY_TOO_LARGE: 413,
 }
 _SERVICE_UNAVAILABLE = 503
@@ -51,8 +53,8 @@
         ...
 
 
-class _ServerConnection(web.RequestHandler):
-    """Connection that can tell whether a request of it is unanswered."""
+class _ServerConnection(CallerConnection):
+    """Connection that can tell whether what it has written has left."""
 
     __slots__ = ("_opened_transport",)
 
@@ -62,11 +64,6 @@
         # The base class drops its reference before the buffer is written.
         self._opened_transport = cast("asyncio.Transport", transport)
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether it waits for a request and has read none."""
-        return self._waiter is not None and not self._waiter.done()
-
     @property
     def unsent_bytes(self) -> int:
         """Bytes that were written and have not left the process."""
@@ -254,6 +251,11 @@
         request_id = caller_headers.attempt_id or next(self._ids)
         # A caller may reuse an id; ids in the receiver's ledger must be unique.
         unanswered.request_id = f"{request_id}/{next(self._ids)}"
+        if request.method == hdrs.METH_CONNECT:
+            response = _to_response(NotRun(NotRunReason.BAD_REQUEST))
+            # What follows is meant for a tunnel and is not a request.
+            response.force_close()
+            return response
         try:
             body = await request.read()
         except web.HTTPRequestEntityTooLarge:
--- a/magnoliafork/mesh/view_sync.py
+++ b/magnoliafork/mesh/view_sync.py
@@ -187,15 +187,21 @@
             self._linked_at_s = now_s
             self._fallback_attempt = 0
             return targets
-        lost_s = now_s - self._linked_at_s
-        if lost_s > PEER_TIMEOUT_S * (self._fallback_attempt + 1):
+        fallback = self._fallback_targets()
+        if any(self._is_live(h, now_s) for h in fallback):
+            self._linked_at_s = now_s
+        elif now_s - self._linked_at_s > PEER_TIMEOUT_S:
+            self._linked_at_s = now_s
             self._fallback_attempt += 1
+            fallback = self._fallback_targets()
+        return (*targets, *fallback)
+
+    def _fallback_targets(self) -> tuple[str, ...]:
         if not self._fallback_attempt:
-            return targets
-        fallback = reader_selection.fallback_targets(
+            return ()
+        return reader_selection.fallback_targets(
             self._fleet, self._fallback_attempt
         )
-        return (*targets, *fallback)
 
     def _should_read(self, now_s: float) -> bool:
         if reader_selection.is_default_reader(self._fleet):
@@ -309,6 +315,10 @@
     def _on_reply(self, host: str, reply: messages.ViewReply) -> None:
         if host == self._requested_from:
             self._requested_from = ""
+        if reply.revision <= self._view.revision:
+            # The earlier value that a late patch needs may not be kept.
+            self._catch_up(self._clock())
+            return
         delta = decode_reply(reply, self._view)
         if isinstance(delta, str):
             self._log.warning(
--- a/magnoliafork/tests/mesh/test_view_sync.py
+++ b/magnoliafork/tests/mesh/test_view_sync.py
@@ -2,6 +2,7 @@
 
 import io
 import random
+import zlib
 
 import pytest
 
@@ -94,6 +95,7 @@
         self.cluster = cluster
         self.host = host
         self.peers: set[str] = set()
+        self.targets: tuple[str, ...] = ()
         self.reads_store = True
         self.view = MeshView(cluster.item_codec.decode)
         clock = lambda: cluster.now_s  # noqa: E731
@@ -115,6 +117,7 @@
         return True
 
     def set_targets(self, instance_ids: tuple[str, ...]) -> None:
+        self.targets = instance_ids
         for other in instance_ids:
             self.peers.add(other)
             self.cluster.nodes[other].peers.add(self.host)
@@ -214,6 +217,21 @@
     )
 
 
+def test_late_reply_with_patches_causes_no_request() -> None:
+    """Guards against fetching the whole state for a reply with nothing new."""
+    cluster = FakeCluster()
+    late = messages.ViewReply(
+        cluster.revision - 2,
+        cluster.revision,
+        ("config",),
+        (cluster.revision,),
+        (zlib.compress(b"patch"),),
+        (cluster.revision - 2,),
+    )
+    cluster.nodes["x1"].view_sync.on_control("x2", late)
+    assert cluster.frames == []
+
+
 def test_node_that_lags_for_too_long_reads_the_store() -> None:
     """A peer may announce a revision and never deliver it."""
     cluster = FakeCluster()
