Count the replies between zones where they are sent

test_other_zones_send_no_changes_that_the_own_reader_delivers looked at the frames before each delivery, but replies are sent and delivered within one delivery, so the list was always empty. Now the fake links record each reply as it is sent. The test also requires one reply within the zone for each change and each node that does not read, which shows that replies are counted at all.

Break: request changes from another zone without the delay of OTHER_ZONE_DELAY_S; or take peers of all zones as candidates. The old test passed with each, the new one fails (40 replies between zones instead of 0). With the break reverted it passes.

--- a/magnoliafork/tests/mesh/test_view_sync.py
+++ b/magnoliafork/tests/mesh/test_view_sync.py
@@ -43,6 +43,7 @@
         self.nodes: dict[str, FakeNode] = {}
         self.isolated: set[str] = set()
         self.frames: list[tuple[str, str, ControlMessage]] = []
+        self.replies: list[tuple[str, str]] = []
         self.revision = 0
         self.state: dict[str, ViewDelta] = {}
         for zone in zones:
@@ -112,6 +113,8 @@
 
     def send(self, instance_id: str, message: ControlMessage) -> bool:
         self.cluster.frames.append((self.host, instance_id, message))
+        if isinstance(message, messages.ViewReply):
+            self.cluster.replies.append((self.host, instance_id))
         return True
 
     def set_targets(self, instance_ids: tuple[str, ...]) -> None:
@@ -180,25 +183,19 @@
 def test_other_zones_send_no_changes_that_the_own_reader_delivers() -> None:
     """Changes would cross the zones twice, and that traffic has a cost."""
     cluster = FakeCluster()
-    sent: list[ControlMessage] = []
-    deliver = cluster.deliver
-
-    def count() -> None:
-        sent.extend(
-            message
-            for source, target, message in cluster.frames
-            if isinstance(message, messages.ViewReply)
-            and source[0] != target[0]
-        )
-        deliver()
-
-    cluster.deliver = count  # type: ignore[method-assign]
+    cluster.replies.clear()
     for version in range(2, 12):
         delta = cluster.publish(version)
         for host in readers_of(cluster):
             cluster.nodes[host].view.apply(delta)
         cluster.run(0.3)
-    assert sent == []
+    is_between_zones = [
+        source[0] != target[0] for source, target in cluster.replies
+    ]
+    assert is_between_zones.count(True) == 0
+    assert is_between_zones.count(False) == 10 * (
+        len(cluster.nodes) - len(ZONES)
+    )
     assert lagging_hosts(cluster) == []
 
 
