Give both services of a split upstreams in the test of moved requests

test_refused_request_is_not_moved_to_another_service_of_a_split announced no upstream of "orders", and looked only at the name of the service in each call. Now it compares the calls of each request, service and host, first without upstreams of "orders" and then with them.

Break: choose an upstream of another service of the split when none is left of the own one, and name that service in the call; either always, or only after a refusal. The old test passed with both. The new one fails with both, the second only where "orders" has upstreams. With the break reverted it passes.

--- a/magnoliafork/tests/mesh/test_sender.py
+++ b/magnoliafork/tests/mesh/test_sender.py
@@ -331,20 +331,30 @@
     """Overload of one service would change the split that operators set."""
 
     async def test() -> None:
-        asked: list[str] = []
+        asked: list[tuple[str, str]] = []
 
-        async def script(_: str, call: messages.CallRequest) -> Reply:
-            asked.append(call.service_name)
+        async def script(host: str, call: messages.CallRequest) -> Reply:
+            asked.append((call.service_name, host))
             return refused("overloaded")
 
+        async def calls_of_one_request() -> list[tuple[str, str]]:
+            asked.clear()
+            await setup.send()
+            return sorted(asked)
+
         targets = (
             WeightedService("catalogue", 50),
             WeightedService("orders", 50),
         )
         setup = SenderSetup(script, targets=targets)
-        await setup.send()
-        await setup.send()
-        assert set(asked) <= {"catalogue"}
+        to_catalogue = [("catalogue", entry(name).host) for name in "abc"]
+        without_orders = [await calls_of_one_request() for _ in range(2)]
+        assert sorted(without_orders) == [[], to_catalogue]
+        for name in "de":
+            setup.published.announce(entry(name, service="orders"))
+        to_orders = [("orders", entry(name).host) for name in "de"]
+        with_orders = [await calls_of_one_request() for _ in range(2)]
+        assert sorted(with_orders) == [to_catalogue, to_orders]
 
     run(test)
 
