Give the test of a route's attempts retry budget enough

test_requests_reach_no_more_upstreams_than_the_route_allows passed without the check of max_attempts, as the budget held one token and stopped the third attempt. Now it also runs with a budget for all retries, with 1, 2 and 3 allowed attempts and a fourth upstream that a request must not reach; the case of 3 shows that the budget is enough. The case of before stays.

Break: remove the check of max_attempts before a retry. The old test passed. The new one fails in the three cases with enough budget. With the break reverted it passes.

--- a/magnoliafork/tests/mesh/test_sender.py
+++ b/magnoliafork/tests/mesh/test_sender.py
@@ -32,6 +32,10 @@
 Reply = messages.CallReply | LinkFailure
 Script = Callable[[str, messages.CallRequest], Awaitable[Reply]]
 
+RETRY_LIMITS = RetryLimits(0.2, 60.0, 10.0)
+# Limits that allow as many retries as there are upstreams.
+AMPLE_RETRY_LIMITS = RetryLimits(0.2, 6000.0, 10.0)
+
 
 class FakePeers:
     """Implements `PeerCalls` with scripted replies; records the calls."""
@@ -83,7 +87,12 @@
 class SenderSetup:
     """A sender with three upstreams and scripted peers."""
 
-    def __init__(self, script: Script, **changes: Any) -> None:
+    def __init__(
+        self,
+        script: Script,
+        limits: RetryLimits = RETRY_LIMITS,
+        **changes: Any,
+    ) -> None:
         loop = asyncio.get_running_loop()
         self.latencies: list[tuple[str, float]] = []
         self.published = PublishedState()
@@ -94,7 +103,7 @@
             self.published.view,
             table,
             self.peers,
-            RetryLimits(0.2, 60.0, 10.0),
+            limits,
             random.Random(3),
             loop.time,
             EventLog("error", io.StringIO()),
@@ -226,16 +235,29 @@
     run(test)
 
 
-def test_requests_reach_no_more_upstreams_than_the_route_allows() -> None:
+@pytest.mark.parametrize(
+    ("limits", "max_attempts"),
+    [
+        (RETRY_LIMITS, 2),
+        (AMPLE_RETRY_LIMITS, 1),
+        (AMPLE_RETRY_LIMITS, 2),
+        (AMPLE_RETRY_LIMITS, 3),
+    ],
+)
+def test_requests_reach_no_more_upstreams_than_the_route_allows(
+    limits: RetryLimits, max_attempts: int
+) -> None:
     """A request that crashes upstreams would be sent to all of them."""
 
     async def test() -> None:
         setup = SenderSetup(
             scripted(messages.CallUnknown(1, "upstream_broke")),
-            max_attempts=2,
+            limits,
+            max_attempts=max_attempts,
         )
+        setup.published.announce(entry("d"))
         await setup.send()
-        assert len(setup.peers.calls) == 2
+        assert len(setup.peers.calls) == max_attempts
 
     run(test)
 
