Count the upstreams that are compared for one attempt

test_large_service_compares_few_of_its_upstreams only required that one of 900 upstreams was chosen. Now it also counts the calls that rate an upstream and requires 2 to 8 of them, for a service in the own zone and for one in another zone.

Break: raise MAX_COMPARED to 900; compare all remaining upstreams; compare all upstreams of other zones. The old test passed with each, the new one fails (900 compared). With the break reverted it passes.

--- a/magnoliafork/tests/mesh/test_upstream_selector.py
+++ b/magnoliafork/tests/mesh/test_upstream_selector.py
@@ -3,6 +3,9 @@
 import collections
 import random
 
+import pytest
+
+from magnoliafork.mesh.model import UpstreamEntry
 from magnoliafork.mesh.upstream_selector import RequestProfile, UpstreamSelector
 from magnoliafork.tests.mesh.builders import entry
 from magnoliafork.wire import messages
@@ -156,13 +159,28 @@
         assert min(chosen[p.upstream_id] for p in peers) >= 6, f"seed {seed}"
 
 
-def test_large_service_compares_few_of_its_upstreams() -> None:
+@pytest.mark.parametrize("zone", [OWN_ZONE, REMOTE_ZONE])
+def test_large_service_compares_few_of_its_upstreams(
+    zone: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Requests to a large service in one zone would fail in the selection."""
     selector, _ = new_selector()
+    compared: list[str] = []
+    cost = selector.cost
+
+    def count(
+        upstream: UpstreamEntry, profile: RequestProfile, now_s: float
+    ) -> float:
+        compared.append(upstream.host)
+        return cost(upstream, profile, now_s)
+
+    monkeypatch.setattr(selector, "cost", count)
     many = [
-        entry(f"u{n}", host=f"10.1.{n // 250}.{n % 250}") for n in range(900)
+        entry(f"u{n}", zone=zone, host=f"10.1.{n // 250}.{n % 250}")
+        for n in range(900)
     ]
     assert selector.choose(many, (), PROFILE) is not None
+    assert 2 <= len(compared) <= 8
 
 
 def test_excluded_upstreams_are_not_chosen() -> None:
