Send several requests to a service without a rate

test_service_without_a_rate_has_no_limit asked for one request, and the first is free under any limit.

--- a/magnoliafork/tests/mesh/test_cold_rate_limiter.py
+++ b/magnoliafork/tests/mesh/test_cold_rate_limiter.py
@@ -79,11 +79,12 @@
 
 
 def test_service_without_a_rate_has_no_limit() -> None:
-    """The first request to a service without a rate would have to wait."""
-    assert (
-        ColdRateLimiter(COLD_RATE_FACTOR).wait_s(0.0, now_s=1.0, is_short=False)
-        == 0.0
-    )
+    """Requests to a service without a rate would have to wait."""
+    limiter = ColdRateLimiter(COLD_RATE_FACTOR)
+    for _ in range(20):
+        for is_short in (False, True):
+            assert limiter.wait_s(0.0, now_s=1.0, is_short=is_short) == 0.0
+            limiter.record_sent(1.0, is_short=is_short)
 
 
 def test_part_of_the_limit_is_reserved_for_short_calls() -> None:
