Test a refusal whose reply has no load hint

test_refusal_is_respected_until_the_time_that_it_names used a reply that also says that the queue is full, which moves the requests by itself. Now it runs with that reply and with one of an idle upstream, and also looks just before the time that the reply names, when the full queue counts as served.

Break: REFUSED_COST = 0; or a wait of half the named time. The old test passed with each, the new one fails in both cases. With the break reverted it passes.

--- a/magnoliafork/tests/mesh/test_upstream_selector.py
+++ b/magnoliafork/tests/mesh/test_upstream_selector.py
@@ -121,13 +121,20 @@
         assert share_of_same_zone(selector) == 1.0
 
 
-def test_refusal_is_respected_until_the_time_that_it_names() -> None:
+@pytest.mark.parametrize(("active", "queued"), [(4, 4), (0, 0)])
+def test_refusal_is_respected_until_the_time_that_it_names(
+    active: int, queued: int
+) -> None:
     """Requests would lose time at an upstream that refuses them again."""
     selector, clock = new_selector()
-    refused = messages.CallRefused(1, "overloaded", 300, 4, 4, "", 4, 100, 0)
+    refused = messages.CallRefused(
+        1, "overloaded", 300, active, 4, "", queued, 100, 0
+    )
     selector.observe(request(), SAME_ZONE.host, 1, refused, 0.1)
     assert share_of_same_zone(selector) == 0.0
-    clock.now_s += 0.5
+    clock.now_s += 0.29
+    assert share_of_same_zone(selector) == 0.0
+    clock.now_s += 0.21
     assert share_of_same_zone(selector) > 0.9
 
 
