--- a/magnoliafork/tests/mesh/test_receiver.py
+++ b/magnoliafork/tests/mesh/test_receiver.py
@@ -192,6 +192,17 @@
         before = len(harness.upstream.arrivals)
         await asyncio.gather(*[harness.call(f"r{n}") for n in range(60)])
         assert len(harness.upstream.arrivals) - before <= 2 * COLD_PER_S
+        tasks = []
+        for number in range(150):
+            tasks.append(harness.call(f"later{number}"))
+            await asyncio.sleep(0.01)
+        await asyncio.gather(*tasks)
+        arrivals = harness.upstream.arrivals[before:]
+        busiest = max(
+            sum(start <= other < start + 1.0 for other in arrivals)
+            for start in arrivals
+        )
+        assert busiest == COLD_PER_S * COLD_RATE_FACTOR
 
     run(test)
 
