Publish the entry in the test of a node without a configuration

test_node_without_a_configuration_refuses published no entry either, so a node without the check of its configuration refused the call as well, only with another reason. Now the test calls twice, before and after the entry is published, and requires that nothing reaches the upstream.

Break: report "not_ready" for a missing entry while there is no configuration, instead of checking the configuration. The old test passed, the new one fails, as the call runs once the entry is published. Removing the check alone failed the old test too, by the reason. With the breaks reverted it passes.

--- a/magnoliafork/tests/mesh/test_receiver.py
+++ b/magnoliafork/tests/mesh/test_receiver.py
@@ -453,8 +453,12 @@
             loop.time,
             EventLog("error", io.StringIO()),
         )
-        reply = await receiver.on_call("peer", request())
-        assert isinstance(reply, messages.CallRefused)
-        assert reply.reason == "not_ready"
+        for has_entry in (False, True):
+            if has_entry:
+                published.announce(OWN)
+            reply = await receiver.on_call("peer", request())
+            assert isinstance(reply, messages.CallRefused)
+            assert reply.reason == "not_ready"
+        assert upstream.arrivals == []
 
     run(test)
