--- a/magnoliafork/tests/mesh/test_upstream_selector.py
+++ b/magnoliafork/tests/mesh/test_upstream_selector.py
@@ -3,6 +3,9 @@
 import collections
 import random
 
+import pytest
+
+from magnoliafork.mesh.model import UpstreamEntry
 from magnoliafork.mesh.upstream_selector import RequestProfile, UpstreamSelector
 from magnoliafork.tests.mesh.builders import entry
 from magnoliafork.wire import messages
@@ -118,13 +121,20 @@
         assert share_of_same_zone(selector) == 1.0
 
 
-def test_refusal_is_respected_until_the_time_that_it_names() -> None:
+@pytest.mark.parametrize(("active", "queued"), [(4, 4), (0, 0)])
+def test_refusal_is_respected_until_the_time_that_it_names(
+    active: int, queued: int
+) -> None:
     """Requests would lose time at an upstream that refuses them again."""
     selector, clock = new_selector()
-    refused = messages.CallRefused(1, "overloaded", 300, 4, 4, "", 4, 100, 0)
+    refused = messages.CallRefused(
+        1, "overloaded", 300, active, 4, "", queued, 100, 0
+    )
     selector.observe(request(), SAME_ZONE.host, 1, refused, 0.1)
     assert share_of_same_zone(selector) == 0.0
-    clock.now_s += 0.5
+    clock.now_s += 0.29
+    assert share_of_same_zone(selector) == 0.0
+    clock.now_s += 0.21
     assert share_of_same_zone(selector) > 0.9
 
 
@@ -144,24 +154,40 @@
 
 def test_own_calls_count_before_any_reply() -> None:
     """A burst would go to one upstream before any reply shows its load."""
-    selector, _ = new_selector()
     peers = [entry(c, host=f"10.0.0.{ord(c)}") for c in "ab"]
-    chosen: collections.Counter[str] = collections.Counter()
-    for _ in range(16):
-        picked = selector.choose(peers, (), PROFILE)
-        assert picked is not None
-        selector.begin(picked.host)
-        chosen[picked.upstream_id] += 1
-    assert min(chosen.values()) >= 6
-
-
-def test_large_service_compares_few_of_its_upstreams() -> None:
+    for seed in range(20):
+        selector = UpstreamSelector(OWN_ZONE, random.Random(seed), Clock())
+        chosen: collections.Counter[str] = collections.Counter()
+        for _ in range(16):
+            picked = selector.choose(peers, (), PROFILE)
+            assert picked is not None
+            selector.begin(picked.host)
+            chosen[picked.upstream_id] += 1
+        assert min(chosen[p.upstream_id] for p in peers) >= 6, f"seed {seed}"
+
+
+@pytest.mark.parametrize("zone", [OWN_ZONE, REMOTE_ZONE])
+def test_large_service_compares_few_of_its_upstreams(
+    zone: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Requests to a large service in one zone would fail in the selection."""
     selector, _ = new_selector()
+    compared: list[str] = []
+    cost = selector.cost
+
+    def count(
+        upstream: UpstreamEntry, profile: RequestProfile, now_s: float
+    ) -> float:
+        compared.append(upstream.host)
+        return cost(upstream, profile, now_s)
+
+    monkeypatch.setattr(selector, "cost", count)
     many = [
-        entry(f"u{n}", host=f"10.1.{n // 250}.{n % 250}") for n in range(900)
+        entry(f"u{n}", zone=zone, host=f"10.1.{n // 250}.{n % 250}")
+        for n in range(900)
     ]
     assert selector.choose(many, (), PROFILE) is not None
+    assert 2 <= len(compared) <= 8
 
 
 def test_excluded_upstreams_are_not_chosen() -> None:
