Say what each end-to-end test guards against

Twelve tests had no docstring, so that a reader could not tell which failure of callers or operators a red test stands for. Each now names it in one line.

Two docstrings had a second paragraph. That a store entry may be older than the change of server is now part of the line.

--- a/magnoliafork/tests/platform/test_end_to_end.py
+++ b/magnoliafork/tests/platform/test_end_to_end.py
@@ -164,6 +164,8 @@
 
 
 def test_request_reaches_a_server_of_its_route_unchanged() -> None:
+    """Guards against rewritten URLs, lost headers and extended deadlines."""
+
     async def test(fleet: Fleet) -> None:
         answer = await fleet.request("127.0.7.2", "/a/b%20c?q=1")
         assert answer.status == 200
@@ -177,6 +179,8 @@
 
 
 def test_requests_under_low_load_stay_in_their_zone() -> None:
+    """Guards against paying for cross-zone traffic while the zone has room."""
+
     async def test(fleet: Fleet) -> None:
         for _ in range(20):
             await fleet.request("127.0.7.2", "/a/")
@@ -186,6 +190,8 @@
 
 
 def test_changed_configuration_is_in_force_at_every_node() -> None:
+    """Guards against a node that answers 404 on a newly published route."""
+
     async def test(fleet: Fleet) -> None:
         await fleet.request("127.0.7.1", "/new/")
         fleet.store.put(
@@ -199,6 +205,8 @@
 
 
 def test_configuration_that_cannot_be_read_changes_nothing() -> None:
+    """Guards against a malformed publication that takes all routes away."""
+
     async def test(fleet: Fleet) -> None:
         fleet.store.put("op/config", b"{")
         revision = fleet.store.revision
@@ -213,6 +221,8 @@
 
 
 def test_draining_server_gets_no_requests_once_the_nodes_know() -> None:
+    """Guards against requests that are lost when a drained server stops."""
+
     async def test(fleet: Fleet) -> None:
         entry = server_entry("127.0.7.1", "x", "joliette", "draining")
         fleet.store.put("servers/i-127.0.7.1", entry)
@@ -230,6 +240,8 @@
 
 
 def test_evacuated_zone_gets_no_requests() -> None:
+    """Guards against failed requests while operators work on a zone."""
+
     async def test(fleet: Fleet) -> None:
         fleet.store.put("op/evacuate/joliette", {})
         await fleet.wait_until(
@@ -245,10 +257,7 @@
 
 
 def test_server_that_took_over_an_address_does_not_run_the_request() -> None:
-    """Guards against a run at a server that was not selected.
-
-    The store entry that a node knows may be older than the change of server.
-    """
+    """Guards against a run at the wrong server if a store entry is outdated."""
 
     async def test(fleet: Fleet) -> None:
         fleet.servers["127.0.7.1"].server_id = "i-other"
@@ -260,6 +269,8 @@
 
 
 def test_fleet_serves_while_the_store_is_unavailable() -> None:
+    """Guards against an outage of the store that stops callers' requests."""
+
     async def test(fleet: Fleet) -> None:
         fleet.store.status = 503
         await asyncio.sleep(0.3)
@@ -270,6 +281,8 @@
 
 
 def test_nodes_read_the_whole_state_after_the_history_is_lost() -> None:
+    """Guards against outdated routes after a watch that gets status 410."""
+
     async def test(fleet: Fleet) -> None:
         fleet.store.put("op/config", configuration(3, [["/c/", "safe", "x"]]))
         fleet.store.forget_history()
@@ -279,6 +292,8 @@
 
 
 def test_unsafe_request_runs_once() -> None:
+    """Guards against a payment that runs twice or is answered without a run."""
+
     async def test(fleet: Fleet) -> None:
         for _ in range(10):
             answer = await fleet.request("127.0.7.1", "/pay/", "POST", b"10")
@@ -292,6 +307,8 @@
 
 
 def test_planned_stop_finishes_running_requests_and_is_not_ready() -> None:
+    """Guards against a restart that cuts requests or still reports ready."""
+
     async def test(fleet: Fleet) -> None:
         fleet.servers["127.0.7.3"].work_s = 0.5
         fleet.servers["127.0.7.1"].work_s = 0.5
@@ -318,10 +335,7 @@
 
 
 def test_planned_stop_cuts_no_request_while_callers_keep_sending() -> None:
-    """Guards against a stop that cuts requests of callers that keep sending.
-
-    In a zone where most nodes leave, callers are not sent to other nodes.
-    """
+    """Guards against a stop that cuts requests of callers that keep sending."""
 
     async def test(fleet: Fleet) -> None:
         host = "127.0.7.1"
@@ -354,6 +368,8 @@
 
 
 def test_metrics_are_served() -> None:
+    """Guards against dashboards without request count, version or latency."""
+
     async def test(fleet: Fleet) -> None:
         await fleet.request("127.0.7.1", "/a/")
         async with fleet.http.get(
@@ -370,6 +386,8 @@
 
 
 def test_node_is_not_ready_without_a_configuration() -> None:
+    """Guards against callers sent to a node that does not know its routes."""
+
     async def test(fleet: Fleet) -> None:
         node = fleet.nodes["127.0.7.1"]
         node.view.config = None
