--- a/magnoliafork/tests/platform/test_header_codec.py
+++ b/magnoliafork/tests/platform/test_header_codec.py
@@ -8,6 +8,7 @@
 
 
 def test_caller_headers_are_parsed() -> None:
+    """Guards against ignoring a deadline whose header is in lower case."""
     caller_headers = CODEC.parse_caller_headers(
         [ID, ("magnoliafork-deadline-ms", "2500")]
     )
@@ -17,6 +18,7 @@
 
 
 def test_callers_cannot_name_another_service() -> None:
+    """Guards against a caller that an upstream takes for another service."""
     forwarded = CODEC.forwarded_headers(
         [ID, (names.CALLER_SERVICE.upper(), "forged"), ("X-A", "1")], "own"
     )
@@ -24,6 +26,7 @@
 
 
 def test_headers_of_one_connection_are_not_forwarded() -> None:
+    """Guards against an upstream that misreads the end of a forwarded body."""
     headers = [
         ("Connection", "close, X-Local"),
         ("X-Local", "1"),
@@ -49,6 +52,7 @@
 
 
 def test_statuses_that_promise_nothing_ran() -> None:
+    """Guards against repeating a request that may have run before its 503."""
     assert CODEC.parse_answer_headers(421, []).is_not_run
     assert CODEC.parse_answer_headers(
         503, [(names.NOT_EXECUTED, "1")]
@@ -57,12 +61,14 @@
 
 
 def test_success_needs_the_seal() -> None:
+    """Guards against a success for the caller that no upstream produced."""
     assert not CODEC.parse_answer_headers(200, [ID]).is_genuine
     assert CODEC.parse_answer_headers(200, [ID, (names.SEAL, "s")]).is_genuine
     assert CODEC.parse_answer_headers(500, [ID]).is_genuine
 
 
 def test_health_headers_are_parsed() -> None:
+    """Guards against full load on a cold upstream, and failed health checks."""
     health_headers = CODEC.parse_health_headers(
         [(names.INSTANCE_ID, "i-1"), (names.COLD_MS, "1500")]
     )
