--- a/magnoliafork/tests/platform/test_items.py
+++ b/magnoliafork/tests/platform/test_items.py
@@ -80,6 +80,7 @@
 
 
 def test_configuration_is_decoded() -> None:
+    """Guards against requests with a wrong target, timeout or retry rule."""
     config = decode("op/config", CONFIG)
     assert isinstance(config, MeshConfig)
     assert config.version == 7
@@ -109,6 +110,7 @@
 
 
 def test_server_entry_is_decoded() -> None:
+    """Guards against requests to a wrong address and full load when cold."""
     server = decode("servers/i-1", SERVER)
     assert isinstance(server, UpstreamEntry)
     assert (server.upstream_id, server.host, server.port) == (
@@ -121,6 +123,7 @@
 
 
 def test_draining_server_is_not_ready() -> None:
+    """Guards against new requests to a server that is about to stop."""
     status = {**SERVER["status"], "state": "draining"}
     server = decode("servers/i-1", {**SERVER, "status": status})
     assert isinstance(server, UpstreamEntry)
@@ -144,18 +147,22 @@
     ],
 )
 def test_malformed_server_entry_is_unreadable(value: Any) -> None:
+    """Guards against one bad entry that stops all updates of a node."""
     assert isinstance(decode("servers/i-1", value), UnreadableItem)
 
 
 def test_malformed_configuration_is_rejected_as_a_whole() -> None:
+    """Guards against 404 on routes that a partly read configuration lacks."""
     rows = [ROUTES["rows"][0], ["r2", None]]
     malformed = {**CONFIG, "routes": {**ROUTES, "rows": rows}}
     assert isinstance(decode("op/config", malformed), UnreadableItem)
 
 
 def test_evacuated_zone_is_decoded() -> None:
+    """Guards against an evacuation that leaves the zone's traffic as it is."""
     assert decode("op/evacuate/rawdon", {}) == ZoneOut("rawdon")
 
 
 def test_keys_that_the_mesh_does_not_use_are_ignored() -> None:
+    """Guards against warnings in the log about items of other programs."""
     assert decode("my/leader", {}) is None
