--- a/magnoliafork/tests/platform/test_daemon.py
+++ b/magnoliafork/tests/platform/test_daemon.py
@@ -33,10 +33,7 @@
 def test_sighup_during_startup_does_not_end_the_process(
     tmp_path: pathlib.Path,
 ) -> None:
-    """Guards against SIGHUP ending a node that is still starting.
-
-    This happened when the settings changed while a node was restarted.
-    """
+    """Guards against SIGHUP ending a node that is still starting."""
     path = tmp_path / "node.yaml"
     path.write_text(SETTINGS, encoding="utf-8")
 
