Say that the slow-reader test guards against truncated answers

"Answers of which a rest is buffered at the end" did not say what the caller gets. It gets a truncated answer, because the process ends too early.

--- a/magnoliafork/tests/platform/test_kept_connections.py
+++ b/magnoliafork/tests/platform/test_kept_connections.py
@@ -60,7 +60,7 @@
 
 
 def test_slow_reader_gets_its_whole_answer_before_the_process_ends() -> None:
-    """Guards against answers of which a rest is buffered at the end."""
+    """Guards against truncated answers to slow callers of a stopping node."""
 
     async def test(fleet: Fleet) -> None:
         node = fleet.nodes[HOST]
