Name what the single-node measurements create and time

`_control`, `_configuration`, `_sizes`, `_tick_us`, `_mean_us` and `work` did not say what they return or measure; "work" meant time in one docstring. They are `_new_cluster_control`, `_new_configuration_state`, `_select_sizes`, `_mean_tick_us`, `_mean_cpu_us` and `operation` now. `size` and `count` say whether members or services are counted. `TICKS`, `TICK_S` and `LINKS` are `MEASURED_TICKS`, `TICK_PERIOD_S` and `LINKS_PER_NODE`.

Names of figures and variants are unchanged.

--- a/magnoliafork/bench/state.py
+++ b/magnoliafork/bench/state.py
@@ -1,4 +1,4 @@
-"""Measures one node by size: ticks, memory and work for a changed rule."""
+"""Measures tick time, memory and assembly time of one node by fleet size."""
 
 import functools
 import random
@@ -21,18 +21,18 @@
 MEMBER_SIZES = (288, 575, 1150, 2300)
 SERVICE_SIZES = (34, 68, 135, 270)
 # A quick run measures only the smaller sizes.
-QUICK_COUNT = 2
-TICKS = 200
-TICK_S = 0.25
-LINKS = 12
+QUICK_SIZE_COUNT = 2
+MEASURED_TICKS = 200
+TICK_PERIOD_S = 0.25
+LINKS_PER_NODE = 12
 
 
-def _sizes(sizes: tuple[int, ...], is_quick: bool) -> tuple[int, ...]:
-    return sizes[:QUICK_COUNT] if is_quick else sizes
+def _select_sizes(sizes: tuple[int, ...], is_quick: bool) -> tuple[int, ...]:
+    return sizes[:QUICK_SIZE_COUNT] if is_quick else sizes
 
 
-class _UnansweredLinks:
-    """Control connections to a fixed number of peers that never answer."""
+class _SilentPeerLinks:
+    """Control connections to `LINKS_PER_NODE` peers, which never answer."""
 
     def __init__(self) -> None:
         self._peers: tuple[str, ...] = ()
@@ -44,10 +44,12 @@
         return True
 
     def set_targets(self, instance_ids: tuple[str, ...]) -> None:
-        self._peers = instance_ids[:LINKS]
+        self._peers = instance_ids[:LINKS_PER_NODE]
 
 
-class _Clock:
+class _ManualClock:
+    """Clock that stands still until its time is set."""
+
     def __init__(self) -> None:
         self.now_s = 1000.0
 
@@ -55,116 +57,139 @@
         return self.now_s
 
 
-def _control(count: int) -> tuple[ClusterControl, _Clock]:
-    rows = synthetic.members(count)
-    clock = _Clock()
+def _new_cluster_control(
+    member_count: int,
+) -> tuple[ClusterControl, _ManualClock]:
+    members = synthetic.members(member_count)
+    clock = _ManualClock()
     control = ClusterControl(
-        rows[0],
+        members[0],
         SnapshotStore(),
         Assembler().assemble,
-        _UnansweredLinks(),
+        _SilentPeerLinks(),
         clock=clock,
         rng=random.Random(1),
         load=lambda: LoadHint(0, 12),
     )
     control.on_instances(
-        tuple(ListedInstance(row.instance, False) for row in rows)
+        tuple(ListedInstance(member.instance, False) for member in members)
     )
     return control, clock
 
 
 async def measure_ticks(is_quick: bool) -> list[Figure]:
-    """Measures a tick with a received heartbeat by the number of members."""
+    """Measures the processor time of a tick and a heartbeat by members."""
     return [
-        Figure("tick_cost", "control", size, _tick_us(size), "us")
-        for size in _sizes(MEMBER_SIZES, is_quick)
+        Figure(
+            "tick_cost",
+            "control",
+            member_count,
+            _mean_tick_us(member_count),
+            "us",
+        )
+        for member_count in _select_sizes(MEMBER_SIZES, is_quick)
     ]
 
 
-def _tick_us(size: int) -> float:
-    control, clock = _control(size)
+def _mean_tick_us(member_count: int) -> float:
+    control, clock = _new_cluster_control(member_count)
     peer_id = "service-0-1"
     control.on_link_up(messages.Hello(1, peer_id, 1, 1, 0, "", "control"))
 
     def tick() -> None:
-        clock.now_s += TICK_S
+        clock.now_s += TICK_PERIOD_S
         digest = control.table.digest()
         heartbeat = messages.Heartbeat(True, 0, "", digest, 0, 1, 1)
         control.on_control(peer_id, heartbeat)
         control.tick(clock.now_s)
 
     tick()
-    return _mean_us(tick, TICKS)
+    return _mean_cpu_us(tick, MEASURED_TICKS)
 
 
 async def measure_memory(is_quick: bool) -> list[Figure]:
-    """Measures the memory of the state, without interpreter and libraries."""
+    """Measures memory of members and rules, without Python and libraries."""
     figures = []
-    for size in _sizes(MEMBER_SIZES, is_quick):
-        held_kb = _allocated_kb(functools.partial(_control, size))
-        figures.append(Figure("control_memory", "members", size, held_kb, "KB"))
-    for count in _sizes(SERVICE_SIZES, is_quick):
-        held_kb = _allocated_kb(functools.partial(_configuration, count))
+    for member_count in _select_sizes(MEMBER_SIZES, is_quick):
+        allocated_kb = _allocated_kb(
+            functools.partial(_new_cluster_control, member_count)
+        )
         figures.append(
-            Figure("control_memory", "services", count, held_kb, "KB")
+            Figure(
+                "control_memory", "members", member_count, allocated_kb, "KB"
+            )
+        )
+    for service_count in _select_sizes(SERVICE_SIZES, is_quick):
+        allocated_kb = _allocated_kb(
+            functools.partial(_new_configuration_state, service_count)
+        )
+        figures.append(
+            Figure(
+                "control_memory", "services", service_count, allocated_kb, "KB"
+            )
         )
     return figures
 
 
 async def measure_assembly(is_quick: bool) -> list[Figure]:
-    """Measures the work for one changed rule by the number of services."""
+    """Measures the time to assemble one changed part by number of services."""
     figures = []
-    for count in _sizes(SERVICE_SIZES, is_quick):
+    for service_count in _select_sizes(SERVICE_SIZES, is_quick):
         assembler = Assembler()
-        builds = [build(synthetic.rules(count, n), n + 1) for n in range(4)]
-        costs_us = []
-        for number, built in enumerate(builds):
-            if isinstance(built, Err):
-                raise AssertionError(built.errors[0])
-            value = built.value
+        build_results = [
+            build(synthetic.rules(service_count, index), index + 1)
+            for index in range(4)
+        ]
+        assembly_times_us = []
+        for index, build_result in enumerate(build_results):
+            if isinstance(build_result, Err):
+                raise AssertionError(build_result.errors[0])
+            version = build_result.value
             start_s = time.perf_counter()
-            assembler.assemble(value.manifest, value.parts)
-            if number > 0:
-                costs_us.append((time.perf_counter() - start_s) * 1e6)
+            assembler.assemble(version.manifest, version.parts)
+            if index > 0:
+                assembly_times_us.append((time.perf_counter() - start_s) * 1e6)
         figures.append(
             Figure(
                 "change_cost",
                 "assemble one changed part",
-                count,
-                round(min(costs_us), 1),
+                service_count,
+                round(min(assembly_times_us), 1),
                 "us",
             )
         )
     return figures
 
 
-def _configuration(count: int) -> object:
+def _new_configuration_state(service_count: int) -> object:
     """Returns the objects that a node keeps for a configuration."""
-    built = build(synthetic.rules(count), 1)
-    if isinstance(built, Err):
-        raise AssertionError(built.errors[0])
+    build_result = build(synthetic.rules(service_count), 1)
+    if isinstance(build_result, Err):
+        raise AssertionError(build_result.errors[0])
     assembler = Assembler()
-    snapshot = assembler.assemble(built.value.manifest, built.value.parts)
+    snapshot = assembler.assemble(
+        build_result.value.manifest, build_result.value.parts
+    )
     if isinstance(snapshot, Err):
         raise AssertionError(snapshot.errors[0])
     return assembler, snapshot, RouteTable(snapshot.value.rules)
 
 
 def _allocated_kb(create: Callable[[], object]) -> float:
-    """Returns the memory allocated for a new object and still in use."""
+    """Returns the memory that a new object uses once it is created."""
     tracemalloc.start()
-    held = create()
-    current, _ = tracemalloc.get_traced_memory()
+    created = create()
+    allocated_bytes, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    del held
-    return round(current / 1024, 1)
+    del created
+    return round(allocated_bytes / 1024, 1)
 
 
-def _mean_us(work: Callable[[], None], count: int) -> float:
+def _mean_cpu_us(operation: Callable[[], None], repeats: int) -> float:
     start_s = time.process_time()
-    for _ in range(count):
-        work()
-    return round((time.process_time() - start_s) / count * 1e6, 2)
+    for _ in range(repeats):
+        operation()
+    return round((time.process_time() - start_s) / repeats * 1e6, 2)
 
 
 MEASUREMENTS: tuple[Measurement, ...] = (
