Name the baseline of direct readers as what it is

`DirectFleet` reads like a fleet of nodes; it holds readers and is `DirectReaderFleet` now. `_fetch` is `_fetch_missing_parts`. The docstring of `DirectReader` called it a node; it reads as a node without peers would.

--- a/magnoliafork/bench/control.py
+++ b/magnoliafork/bench/control.py
@@ -5,7 +5,7 @@
 import time
 
 from magnoliafork.bench import synthetic
-from magnoliafork.bench.direct_readers import DirectFleet, peak_reads
+from magnoliafork.bench.direct_readers import DirectReaderFleet, peak_reads
 from magnoliafork.bench.figure import Figure, Measurement
 from magnoliafork.model.result import Err
 from magnoliafork.rules.build import Build, build
@@ -179,7 +179,9 @@
     port = await server.start(HOST, 0)
     service_count = node_count // synthetic.SERVERS_PER_SERVICE
     _publish_rules(server, synthetic.rules(service_count), 1)
-    fleet = DirectFleet(f"http://{HOST}:{port}", node_count, is_watcher, SEED)
+    fleet = DirectReaderFleet(
+        f"http://{HOST}:{port}", node_count, is_watcher, SEED
+    )
     try:
         fleet.start()
         await _wait_for_version(fleet, 1)
@@ -205,7 +207,9 @@
     return 0.0, peak_reads_per_s, float(len(manifest.to_bytes()))
 
 
-async def _wait_for_version(fleet: DirectFleet, version_number: int) -> None:
+async def _wait_for_version(
+    fleet: DirectReaderFleet, version_number: int
+) -> None:
     end_s = time.monotonic() + CONVERGENCE_TIMEOUT_S
     while fleet.lowest_version() < version_number and time.monotonic() < end_s:
         await asyncio.sleep(POLL_S)
--- a/magnoliafork/bench/direct_readers.py
+++ b/magnoliafork/bench/direct_readers.py
@@ -23,7 +23,7 @@
 
 
 class DirectReader:
-    """A node that reads manifest and parts from the source directly."""
+    """Reads manifest and parts from the source, as a node without peers."""
 
     def __init__(
         self, source: HttpConfigSource, is_watcher: bool, rng: random.Random
@@ -38,7 +38,7 @@
         self.received_bytes = 0
 
     async def run(self) -> None:
-        """Reads until it is cancelled."""
+        """Reads each new version until it is cancelled."""
         outcome: WatchOutcome = await self._source.read(MANIFEST_KEY)
         while True:
             if isinstance(outcome, SourceValue):
@@ -60,9 +60,9 @@
         manifest = parsed.value
         if manifest.version_number <= self.version_number:
             return
-        await self._fetch(manifest)
+        await self._fetch_missing_parts(manifest)
 
-    async def _fetch(self, manifest: Manifest) -> None:
+    async def _fetch_missing_parts(self, manifest: Manifest) -> None:
         for part in manifest.parts:
             if part.digest in self._part_digests:
                 continue
@@ -74,11 +74,11 @@
         self.version_number = manifest.version_number
 
 
-class DirectFleet:
+class DirectReaderFleet:
     """Readers that all start at the same time."""
 
     def __init__(
-        self, source_url: str, count: int, is_watcher: bool, seed: int
+        self, source_url: str, reader_count: int, is_watcher: bool, seed: int
     ) -> None:
         """Creates the readers, which read nothing before `start`."""
         self._session = aiohttp.ClientSession(
@@ -86,8 +86,8 @@
         )
         source = HttpConfigSource(source_url, self._session, TIMEOUT_S)
         self.readers = [
-            DirectReader(source, is_watcher, random.Random(seed + number))
-            for number in range(count)
+            DirectReader(source, is_watcher, random.Random(seed + index))
+            for index in range(reader_count)
         ]
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -114,5 +114,5 @@
 
 
 def peak_reads(server: SourceServer) -> int:
-    """Returns the reads in the busiest second since the start."""
+    """Returns the reads in the busiest second since the server's start."""
     return max(server.reads_by_second(), default=0)
