Name the steps of the added-latency measurement

`_start`, `_accepts`, `_call_block`, `found` and `through` did not say what is started, accepted, found or passed through. They are `_start_processes`, `_accepts_connections`, `_run_block`, `figures` and `through_nodes`, and the functions that publish and time calls say so.

--- a/magnoliafork/bench/added_latency.py
+++ b/magnoliafork/bench/added_latency.py
@@ -24,9 +24,9 @@
 TARGET_ADDED_P99_MS = 1.1
 READY_TIMEOUT_S = 20.0
 CALL_TIMEOUT_S = 5.0
-# The receiver's limit must not be part of the measurement: the ramp is over
-# at once and the slots exceed the calls in flight. With fewer connections than
-# twice the slots, the receiver opens a connection per call.
+# The receiver's limit must not affect the measurement, so the ramp starts at
+# its end and the slots exceed the calls in flight. With fewer connections than
+# twice the slots, the receiver opens a connection for each call.
 RULES = """
 zone hall  # Bench
 service front slots=500 connections=1000 ramp=1s ramp-start=500  # Bench
@@ -37,10 +37,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
-    """Durations and number of blocks of one run.
+    """Durations of one run and its number of blocks of calls.
 
     Attributes:
-        warm_up_s: Time of calls that are not counted.
+        warm_up_s: Time of the calls before the measurement.
         block_s: Time of calls on one path (direct or through the nodes) before
             the other follows.
         blocks: Blocks per path and rate.
@@ -68,29 +68,29 @@
 
 
 def figures_of_rate(
-    rate_per_s: int, direct: Latencies, through: Latencies
+    rate_per_s: int, direct: Latencies, through_nodes: Latencies
 ) -> list[Figure]:
     """Returns the figures of one rate beside those of direct calls."""
     variant = f"{rate_per_s} calls/s"
-    found: list[Figure] = []
+    figures: list[Figure] = []
     for name, fraction in (("p50", 0.5), ("p99", 0.99)):
-        value = round(through.quantile_ms(fraction), 3)
+        value = round(through_nodes.quantile_ms(fraction), 3)
         baseline = round(direct.quantile_ms(fraction), 3)
-        found.append(
+        figures.append(
             Figure(f"latency_{name}", variant, 2, value, "ms", baseline)
         )
         added = round(value - baseline, 3)
         target = TARGET_ADDED_P99_MS if name == "p99" else None
-        found.append(
+        figures.append(
             Figure(f"added_latency_{name}", variant, 2, added, "ms", target)
         )
-    failed = float(through.failed)
-    found.append(
+    failed = float(through_nodes.failed)
+    figures.append(
         Figure(
             "added_latency_failed", variant, 2, failed, "calls", direct.failed
         )
     )
-    return found
+    return figures
 
 
 async def measure(is_quick: bool) -> list[Figure]:
@@ -104,7 +104,7 @@
     source_port = await source.start(HOST, 0)
     try:
         with Processes() as processes:
-            urls = await _start(processes, source, source_port)
+            urls = await _start_processes(processes, source, source_port)
             return await _measure_rates(plan, *urls)
     finally:
         await source.stop()
@@ -115,48 +115,48 @@
 ) -> list[Figure]:
     connector = aiohttp.TCPConnector(limit=0)
     timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
-    found: list[Figure] = []
+    figures: list[Figure] = []
     async with aiohttp.ClientSession(
         connector=connector, timeout=timeout
     ) as session:
         for url in (direct_url, through_url):
-            await _call_block(session, url, 120, plan.warm_up_s, Latencies())
+            await _run_block(session, url, 120, plan.warm_up_s, Latencies())
         for rate_per_s in RATES_PER_S:
             direct = Latencies()
-            through = Latencies()
+            through_nodes = Latencies()
             for _ in range(plan.blocks):
                 for url, latencies in (
                     (direct_url, direct),
-                    (through_url, through),
+                    (through_url, through_nodes),
                 ):
-                    await _call_block(
+                    await _run_block(
                         session, url, rate_per_s, plan.block_s, latencies
                     )
-            found += figures_of_rate(rate_per_s, direct, through)
-    return found
+            figures += figures_of_rate(rate_per_s, direct, through_nodes)
+    return figures
 
 
-async def _call_block(
+async def _run_block(
     session: aiohttp.ClientSession,
     url: str,
     rate_per_s: int,
     block_s: float,
     latencies: Latencies,
 ) -> None:
-    """Starts calls at even intervals, whether earlier ones have ended or not.
+    """Starts calls at even intervals without waiting for earlier ones.
 
-    The count is fixed, so that a slow path cannot lower the rate unnoticed.
+    The number of calls is fixed, so that a slow path cannot lower the rate.
     """
     loop = asyncio.get_running_loop()
     start_s = loop.time()
     async with asyncio.TaskGroup() as group:
-        for index in range(round(rate_per_s * block_s)):
-            at_s = start_s + index / rate_per_s
-            await asyncio.sleep(max(0.0, at_s - loop.time()))
-            group.create_task(_call(session, url, latencies))
+        for call_index in range(round(rate_per_s * block_s)):
+            due_s = start_s + call_index / rate_per_s
+            await asyncio.sleep(max(0.0, due_s - loop.time()))
+            group.create_task(_time_call(session, url, latencies))
 
 
-async def _call(
+async def _time_call(
     session: aiohttp.ClientSession, url: str, latencies: Latencies
 ) -> None:
     start_s = time.perf_counter()
@@ -172,10 +172,10 @@
         latencies.failed += 1
 
 
-async def _start(
+async def _start_processes(
     processes: Processes, source: SourceServer, source_port: int
 ) -> tuple[str, str]:
-    """Starts the processes; returns the direct URL and that through nodes."""
+    """Starts the processes; returns the URLs for direct and forwarded calls."""
     upstream_port, *node_ports = free_ports(7)
     nodes = [
         Instance(f"{service}-1", service, "hall", "bench", HOST, port)
@@ -183,9 +183,11 @@
             ("front", "orders"), node_ports[::3], strict=True
         )
     ]
-    _publish(source, nodes)
+    _publish_rules_and_instances(source, nodes)
     processes.start("magnoliafork.bench.upstream_process", str(upstream_port))
-    await processes.wait_until(lambda: _accepts(upstream_port), READY_TIMEOUT_S)
+    await processes.wait_until(
+        lambda: _accepts_connections(upstream_port), READY_TIMEOUT_S
+    )
     for index, node in enumerate(nodes):
         _, ingress_port, admin_port = node_ports[3 * index : 3 * index + 3]
         settings = {
@@ -220,11 +222,13 @@
         path.write_text(yaml.safe_dump(settings), "utf-8")
         processes.start("magnoliafork.daemon", "--settings", str(path))
     through_url = f"http://{HOST}:{node_ports[1]}/orders/1"
-    await _wait_answered(processes, through_url)
+    await _wait_until_answered(processes, through_url)
     return f"http://{HOST}:{upstream_port}/orders/1", through_url
 
 
-def _publish(source: SourceServer, nodes: list[Instance]) -> None:
+def _publish_rules_and_instances(
+    source: SourceServer, nodes: list[Instance]
+) -> None:
     built = build(RULES, 1)
     if isinstance(built, Err):
         raise AssertionError(f"rules are invalid: {built.errors[0]}")
@@ -232,12 +236,12 @@
     publish_instances(source, nodes)
 
 
-def _accepts(port: int) -> bool:
+def _accepts_connections(port: int) -> bool:
     with socket.socket() as probe:
         return probe.connect_ex((HOST, port)) == 0
 
 
-async def _wait_answered(processes: Processes, url: str) -> None:
+async def _wait_until_answered(processes: Processes, url: str) -> None:
     """Waits until calls through both nodes are answered."""
     is_answered = False
 
