Name the markers of the table on the capacity page

`BEGIN`, `END` and `PAGE` did not say of what; they are `TABLE_BEGIN`, `TABLE_END` and `CAPACITY_PAGE`. `found` and `line` are `matching` and `fitted`; "line" also stood for a line of the table.

--- a/magnoliafork/bench/capacity.py
+++ b/magnoliafork/bench/capacity.py
@@ -8,9 +8,9 @@
 from magnoliafork.bench import control, state
 from magnoliafork.bench.figure import Figure, Measurement
 
-PAGE = pathlib.Path("docs/CAPACITY.md")
-BEGIN = "<!-- measured: begin -->"
-END = "<!-- measured: end -->"
+CAPACITY_PAGE = pathlib.Path("docs/CAPACITY.md")
+TABLE_BEGIN = "<!-- measured: begin -->"
+TABLE_END = "<!-- measured: end -->"
 
 TARGET_NODES = 2300
 TARGET_SERVICES = 270
@@ -100,8 +100,8 @@
     figures: list[Figure] = []
     for measurement in (*state.MEASUREMENTS, *control.MEASUREMENTS):
         figures += await measurement(is_quick)
-    text = PAGE.read_text("utf-8")
-    PAGE.write_text(replace_table(text, table(figures)), "utf-8")
+    text = CAPACITY_PAGE.read_text("utf-8")
+    CAPACITY_PAGE.write_text(replace_table(text, table(figures)), "utf-8")
     return figures
 
 
@@ -113,27 +113,27 @@
         "|---|---|---|---|---|---|",
     ]
     for quantity in QUANTITIES:
-        found = [
+        matching = [
             figure
             for figure in figures
             if (figure.name, figure.variant)
             == (quantity.name, quantity.variant)
         ]
-        if len(found) > 1:
-            lines.append(_row(quantity, found))
+        if len(matching) > 1:
+            lines.append(_row(quantity, matching))
     return "\n".join(lines)
 
 
 def _row(quantity: Quantity, figures: Sequence[Figure]) -> str:
     points = [(float(figure.nodes), figure.value) for figure in figures]
-    line = fit(points)
+    fitted = fit(points)
     measured = ", ".join(f"{size:g}: {value:g}" for size, value in points)
-    at_target = f"{line.at(quantity.target_size):.4g}"
+    at_target = f"{fitted.at(quantity.target_size):.4g}"
     if quantity.nonlinear_reason:
         at_target = f"not on a line: {quantity.nonlinear_reason}"
     return (
         f"| {quantity.name}, {quantity.variant} | {figures[0].unit}"
-        f" | {measured} | {line.slope:g} | {100 * line.residual:.1f}%"
+        f" | {measured} | {fitted.slope:g} | {100 * fitted.residual:.1f}%"
         f" | {at_target} |"
     )
 
@@ -144,8 +144,8 @@
     Raises:
         ValueError: The page lacks a marker.
     """
-    begin = text.index(BEGIN) + len(BEGIN)
-    end = text.index(END)
+    begin = text.index(TABLE_BEGIN) + len(TABLE_BEGIN)
+    end = text.index(TABLE_END)
     return f"{text[:begin]}\n{new_table}\n{text[end:]}"
 
 
--- a/magnoliafork/tests/bench/test_report.py
+++ b/magnoliafork/tests/bench/test_report.py
@@ -65,7 +65,7 @@
 
 def test_capacity_page_keeps_its_text_around_the_table() -> None:
     """Guards against a run that overwrites the text of the page."""
-    page = f"before\n{capacity.BEGIN}\nold\n{capacity.END}\nafter\n"
+    page = f"before\n{capacity.TABLE_BEGIN}\nold\n{capacity.TABLE_END}\nafter\n"
     figures = [
         Figure("tick_cost", "control", size, 10.0 + size / 100, "us")
         for size in (100, 200, 400, 800)
