Name what the choice measurement counts and compares

`COUNTS`, `LIMIT`, `_Members`, `_Choices`, `_cost_us` and `_round_s` are `INSTANCE_COUNTS`, `CONCURRENCY_LIMIT`, `_FixedMembership`, `_ChoiceMethods`, `_fastest_choice_us` and `_time_round_s`.

--- a/magnoliafork/bench/choice_cost.py
+++ b/magnoliafork/bench/choice_cost.py
@@ -15,11 +15,11 @@
 from magnoliafork.model.snapshot import Snapshot
 from magnoliafork.model.version import Version
 
-COUNTS = (9, 90, 900)
+INSTANCE_COUNTS = (9, 90, 900)
 SEED = 20_261_204
 SERVICE = "orders"
 ZONES = 3
-LIMIT = 12
+CONCURRENCY_LIMIT = 12
 NOW_S = 100.0
 CHOICES_PER_ROUND = 2_000
 SCANS_PER_ROUND = 100
@@ -27,12 +27,12 @@
 FULL_ROUNDS = 30
 
 
-class _Members:
-    """Membership table that never changes."""
+class _FixedMembership:
+    """Membership table whose members never change."""
 
     change_count = 0
 
-    def __init__(self, count: int) -> None:
+    def __init__(self, instance_count: int) -> None:
         self.members = [
             Member(
                 Instance(
@@ -46,7 +46,7 @@
                 1,
                 MemberState.ALIVE,
             )
-            for number in range(count)
+            for number in range(instance_count)
         ]
 
     def get(self, instance_id: str) -> Member | None:
@@ -59,18 +59,18 @@
         return now_s
 
 
-class _Choices:
-    """Both ways of choosing, over the same members and load hints."""
+class _ChoiceMethods:
+    """The choice of a sender and a full scan, on the same members and hints."""
 
-    def __init__(self, count: int) -> None:
+    def __init__(self, instance_count: int) -> None:
         rng = random.Random(SEED)
-        self._members = _Members(count)
+        self._members = _FixedMembership(instance_count)
         self._load = LoadTable()
         for member in self._members.members:
             self._load.record_hint(
                 member.instance.instance_id,
-                rng.randrange(LIMIT),
-                LIMIT,
+                rng.randrange(CONCURRENCY_LIMIT),
+                CONCURRENCY_LIMIT,
                 NOW_S,
             )
         self._index = CandidateIndex(self._members, "zone-0", "region")
@@ -93,38 +93,46 @@
         )
 
 
-def _cost_us(
-    choose: Callable[[], Member | None], repeats: int, rounds: int
+def _fastest_choice_us(
+    choose: Callable[[], Member | None], choices_per_round: int, rounds: int
 ) -> float:
     """Returns the time of one choice in the fastest of several rounds."""
-    fastest_s = min(_round_s(choose, repeats) for _ in range(rounds))
-    return round(fastest_s / repeats * 1e6, 3)
+    fastest_s = min(
+        _time_round_s(choose, choices_per_round) for _ in range(rounds)
+    )
+    return round(fastest_s / choices_per_round * 1e6, 3)
 
 
-def _round_s(choose: Callable[[], Member | None], repeats: int) -> float:
+def _time_round_s(
+    choose: Callable[[], Member | None], choices_per_round: int
+) -> float:
     start_s = time.perf_counter()
-    for _ in range(repeats):
+    for _ in range(choices_per_round):
         choose()
     return time.perf_counter() - start_s
 
 
 async def measure(is_quick: bool) -> list[Figure]:
-    """Times a choice; the baseline scans all instances."""
+    """Times one choice; the baseline scans all instances."""
     rounds = QUICK_ROUNDS if is_quick else FULL_ROUNDS
-    found: list[Figure] = []
-    for count in COUNTS:
-        choices = _Choices(count)
-        found.append(
+    figures: list[Figure] = []
+    for instance_count in INSTANCE_COUNTS:
+        methods = _ChoiceMethods(instance_count)
+        figures.append(
             Figure(
                 name="choice_cost",
-                variant=f"{count} instances",
+                variant=f"{instance_count} instances",
                 nodes=0,
-                value=_cost_us(choices.choose, CHOICES_PER_ROUND, rounds),
+                value=_fastest_choice_us(
+                    methods.choose, CHOICES_PER_ROUND, rounds
+                ),
                 unit="us",
-                baseline=_cost_us(choices.scan, SCANS_PER_ROUND, rounds),
+                baseline=_fastest_choice_us(
+                    methods.scan, SCANS_PER_ROUND, rounds
+                ),
             )
         )
-    return found
+    return figures
 
 
 MEASUREMENTS: tuple[Measurement, ...] = (measure,)
