Name the retry policies of the direct senders

A "careful" sender follows the retry rules of the nodes; a "plain" one retried every failure, yet `_measure_plain_sender` of the zone move is careful. The policies are `RetryPolicy.SAFE` and `RetryPolicy.UNCONDITIONAL` now, and the senders without nodes are direct senders. The limits of retries are `MAX_NOT_RUN_RETRIES` and `MAX_UNCONDITIONAL_RETRIES`; `_attempts` is `_call_with_retries`. The values of the enum, which nothing prints, follow.

--- a/magnoliafork/bench/direct_callers.py
+++ b/magnoliafork/bench/direct_callers.py
@@ -26,9 +26,9 @@
 ANSWERED = "answered"
 NOT_RUN = "not-run"
 FAILED = "failed"
-# Retries of a request whose attempts were certainly not run.
-NOT_RUN_RETRIES = 2
-PLAIN_RETRIES = 3
+# Maximum number of retries of a request none of whose attempts was run.
+MAX_NOT_RUN_RETRIES = 2
+MAX_UNCONDITIONAL_RETRIES = 3
 
 
 def rule_set(rules: str) -> RuleSet:
@@ -113,7 +113,10 @@
         """Returns the instance with the fewest calls."""
         return min(
             instance_ids,
-            key=lambda key: (self._in_flight.get(key, 0), self._rng.random()),
+            key=lambda instance_id: (
+                self._in_flight.get(instance_id, 0),
+                self._rng.random(),
+            ),
         )
 
     def begin(self, instance_id: str) -> None:
@@ -125,16 +128,16 @@
         self._in_flight[instance_id] -= 1
 
 
-class RetryRule(enum.Enum):
-    """When a plain sender tries again.
+class RetryPolicy(enum.Enum):
+    """When a direct sender retries.
 
-    CAREFUL follows the retry rules of the nodes, without a retry budget, so
-    that only the choice of instances differs. PLAIN retries after every
+    SAFE follows the retry rules of the nodes, without a retry budget, so that
+    only the choice of instances differs. UNCONDITIONAL retries after every
     failure, at the instance that the picker returns next.
     """
 
-    CAREFUL = "careful"
-    PLAIN = "plain"
+    SAFE = "safe"
+    UNCONDITIONAL = "unconditional"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -145,25 +148,25 @@
 
 
 def may_retry(
-    rule: RetryRule, route: RouteRule, retries: int, is_not_run: bool
+    policy: RetryPolicy, route: RouteRule, retries: int, is_not_run: bool
 ) -> bool:
     """Tells whether a failed attempt is repeated.
 
     Args:
-        rule: Rule of the sender.
+        policy: Policy of the sender.
         route: Route of the request.
         retries: Retries of the request so far.
         is_not_run: Whether the attempt was certainly not run.
     """
-    if rule is RetryRule.PLAIN:
-        return retries < PLAIN_RETRIES
+    if policy is RetryPolicy.UNCONDITIONAL:
+        return retries < MAX_UNCONDITIONAL_RETRIES
     if is_not_run:
-        return retries < NOT_RUN_RETRIES
+        return retries < MAX_NOT_RUN_RETRIES
     return route.repeatable and retries < route.retries
 
 
 class DirectCallers:
-    """Sends requests at a steady rate straight to upstreams.
+    """Sends requests directly to upstreams at a steady mean rate.
 
     Attributes:
         targets: URL by instance id, per service; may change at any time.
@@ -177,9 +180,9 @@
         rate_per_s: float,
         rng: random.Random,
         picker: Picker,
-        retry_rule: RetryRule,
+        retry_policy: RetryPolicy,
     ) -> None:
-        """Creates callers that do not call yet."""
+        """Creates callers; `run_until` sends their requests."""
         self._patterns = patterns
         self._routes = {
             pattern: route_of(table, pattern) for pattern in patterns
@@ -188,7 +191,7 @@
         self._rate_per_s = rate_per_s
         self._rng = rng
         self._picker = picker
-        self._retry_rule = retry_rule
+        self._retry_policy = retry_policy
         self._count = 0
         self._running: set[asyncio.Task[None]] = set()
         self.targets: dict[str, dict[str, str]] = {}
@@ -210,7 +213,7 @@
                 await asyncio.wait(self._running)
 
     def _session(self) -> aiohttp.ClientSession:
-        if self._retry_rule is RetryRule.CAREFUL:
+        if self._retry_policy is RetryPolicy.SAFE:
             connector = aiohttp.TCPConnector(limit=0)
             return aiohttp.ClientSession(connector=connector)
         return aiohttp.ClientSession(
@@ -224,7 +227,7 @@
         token = str(self._count)
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        reply = await self._attempts(session, pattern, token)
+        reply = await self._call_with_retries(session, pattern, token)
         self.records.append(
             CallRecord(
                 token=token,
@@ -239,7 +242,7 @@
             )
         )
 
-    async def _attempts(
+    async def _call_with_retries(
         self, session: aiohttp.ClientSession, pattern: CallPattern, token: str
     ) -> _Reply:
         route = self._routes[pattern]
@@ -251,7 +254,7 @@
             urls = self.targets[service]
             untried = [key for key in urls if key not in tried]
             instance_id = self._picker.pick(service, untried or list(urls))
-            if self._retry_rule is RetryRule.CAREFUL:
+            if self._retry_policy is RetryPolicy.SAFE:
                 tried.add(instance_id)
             self._picker.begin(instance_id)
             try:
@@ -266,14 +269,14 @@
             if reply.outcome == ANSWERED or loop.time() >= deadline_s:
                 return reply
             if not may_retry(
-                self._retry_rule, route, retries, reply.is_not_run
+                self._retry_policy, route, retries, reply.is_not_run
             ):
                 return reply
         raise AssertionError("the number of retries is bounded")
 
 
 class _RepeatedByClientError(aiohttp.ClientError):
-    """aiohttp tried to repeat a request on its own."""
+    """aiohttp tried to repeat a request by itself."""
 
 
 def _reject_client_retries() -> aiohttp.TraceConfig:
--- a/magnoliafork/bench/retry_amplification.py
+++ b/magnoliafork/bench/retry_amplification.py
@@ -12,7 +12,7 @@
 from magnoliafork.bench.direct_callers import (
     ANSWERED,
     DirectCallers,
-    RetryRule,
+    RetryPolicy,
     RoundRobin,
     route_table,
 )
@@ -151,7 +151,7 @@
         await fleet.stop()
 
 
-async def _measure_plain_sender(
+async def _measure_direct_sender(
     spec: DeploymentSpec, fault: Fault, seconds: float
 ) -> Amplification:
     rng = random.Random(SEED)
@@ -174,7 +174,7 @@
                 RATE_PER_S,
                 rng,
                 RoundRobin(),
-                RetryRule.PLAIN,
+                RetryPolicy.UNCONDITIONAL,
             )
             started.targets = targets
             return started
@@ -211,7 +211,7 @@
     seconds = QUICK_S if is_quick else FULL_S
     runs = (
         _measure_mesh(spec, fault, seconds),
-        _measure_plain_sender(spec, fault, seconds),
+        _measure_direct_sender(spec, fault, seconds),
     )
     if is_quick:
         ours, plain = await asyncio.gather(*runs)
--- a/magnoliafork/bench/zone_move.py
+++ b/magnoliafork/bench/zone_move.py
@@ -11,7 +11,7 @@
     DirectCallers,
     LeastConnections,
     Picker,
-    RetryRule,
+    RetryPolicy,
     RoundRobin,
     route_of,
     route_table,
@@ -246,7 +246,7 @@
                 await server.stop()
 
 
-async def _measure_plain_sender(
+async def _measure_direct_sender(
     spec: DeploymentSpec, plan: Plan, picker: Picker
 ) -> Quality:
     """Runs a plain sender, which learns of the move without any delay."""
@@ -257,7 +257,7 @@
 
     def callers_at(rate_per_s: float) -> DirectCallers:
         callers = DirectCallers(
-            table, spec.patterns, rate_per_s, rng, picker, RetryRule.CAREFUL
+            table, spec.patterns, rate_per_s, rng, picker, RetryPolicy.SAFE
         )
         callers.targets = upstreams.targets()
         return callers
@@ -290,8 +290,8 @@
     picker = LeastConnections(random.Random(SEED))
     runs = {
         OURS: _measure_mesh(spec, plan),
-        ROUND_ROBIN: _measure_plain_sender(spec, plan, RoundRobin()),
-        LEAST_CONNECTIONS: _measure_plain_sender(spec, plan, picker),
+        ROUND_ROBIN: _measure_direct_sender(spec, plan, RoundRobin()),
+        LEAST_CONNECTIONS: _measure_direct_sender(spec, plan, picker),
     }
     if plan.is_concurrent:
         seen = list(await asyncio.gather(*runs.values()))
--- a/magnoliafork/tests/bench/test_zone_move.py
+++ b/magnoliafork/tests/bench/test_zone_move.py
@@ -1,10 +1,10 @@
-"""Statistics of the zone move and rules of the plain senders."""
+"""Statistics of the zone move and rules of the direct senders."""
 
 import dataclasses
 
 from magnoliafork.bench.direct_callers import (
-    PLAIN_RETRIES,
-    RetryRule,
+    MAX_UNCONDITIONAL_RETRIES,
+    RetryPolicy,
     may_retry,
     route_of,
     route_table,
@@ -48,7 +48,7 @@
     assert quality([record], 10.0, 0).failed == 1
 
 
-def test_our_counts_stand_beside_the_better_plain_sender() -> None:
+def test_our_counts_stand_beside_the_better_direct_sender() -> None:
     """Guards against a comparison with the weaker baseline."""
     seen = {
         OURS: Quality(100, 1, 5, 10.0, 12.0, 0),
@@ -69,13 +69,17 @@
     assert 0.8 <= busy < 1.0
 
 
-def test_a_careful_sender_never_repeats_a_payment_that_may_have_run() -> None:
+def test_a_safe_sender_never_repeats_a_payment_that_may_have_run() -> None:
     """Guards against a baseline that, unlike the nodes, may pay twice."""
     table = route_table(LANAUDIERE.rules)
     payment = route_of(table, _POST)
-    careful = RetryRule.CAREFUL
-    assert not may_retry(careful, payment, 0, is_not_run=False)
-    assert may_retry(careful, payment, 0, is_not_run=True)
-    assert may_retry(careful, route_of(table, _GET), 1, is_not_run=False)
-    assert may_retry(RetryRule.PLAIN, payment, PLAIN_RETRIES - 1, False)
-    assert not may_retry(RetryRule.PLAIN, payment, PLAIN_RETRIES, False)
+    safe = RetryPolicy.SAFE
+    assert not may_retry(safe, payment, 0, is_not_run=False)
+    assert may_retry(safe, payment, 0, is_not_run=True)
+    assert may_retry(safe, route_of(table, _GET), 1, is_not_run=False)
+    assert may_retry(
+        RetryPolicy.UNCONDITIONAL, payment, MAX_UNCONDITIONAL_RETRIES - 1, False
+    )
+    assert not may_retry(
+        RetryPolicy.UNCONDITIONAL, payment, MAX_UNCONDITIONAL_RETRIES, False
+    )
