Name the instances and steps of the process faults

`KILLED`, `PAUSED`, `STOPPED`, `_Run`, `_avoid` and `checked` did not say that they are instances, a run of faults, targets of callers and an audit. They are `KILLED_INSTANCES`, `PAUSED_INSTANCE`, `STOPPED_INSTANCE`, `_FaultRun`, `_stop_calling` and `audited`. The comment on the pause says what the 14 s are.

--- a/magnoliafork/bench/process_faults.py
+++ b/magnoliafork/bench/process_faults.py
@@ -1,4 +1,4 @@
-"""Kills, pauses and stops real node processes while callers call."""
+"""Kills, pauses and stops node processes while callers send requests."""
 
 import asyncio
 import pathlib
@@ -14,17 +14,17 @@
 
 SEED = 31
 RATE_PER_S = 60.0
-# Long enough for failure detection (suspect, then dead: 14 s) to begin and to
-# be refuted.
+# Long enough for failure detection to begin, and short enough for the node to
+# refute it: a suspected node counts as dead after 14 s.
 PAUSE_S = 5.0
 SETTLE_S = 3.0
-KILLED = ("patterns-1", "commissions-2", "wool-3")
-PAUSED = "commissions-1"
-STOPPED = "patterns-2"
+KILLED_INSTANCES = ("patterns-1", "commissions-2", "wool-3")
+PAUSED_INSTANCE = "commissions-1"
+STOPPED_INSTANCE = "patterns-2"
 
 
-class _Run:
-    """One sequence of faults injected into a fleet."""
+class _FaultRun:
+    """Callers and a sequence of faults on one fleet."""
 
     def __init__(self, fleet: ProcessFleet) -> None:
         self.fleet = fleet
@@ -37,36 +37,36 @@
         """Injects the faults one after the other."""
         fleet = self.fleet
         await asyncio.sleep(SETTLE_S)
-        for instance_id in KILLED:
-            self._avoid(instance_id)
+        for instance_id in KILLED_INSTANCES:
+            self._stop_calling(instance_id)
             fleet.send_signal(instance_id, signal.SIGKILL)
         await asyncio.sleep(SETTLE_S)
-        for instance_id in KILLED:
+        for instance_id in KILLED_INSTANCES:
             await fleet.start_node(instance_id)
-        await fleet.wait_instances_ready(KILLED, 30.0)
-        self._call_all()
-        self._avoid(PAUSED)
-        fleet.send_signal(PAUSED, signal.SIGSTOP)
+        await fleet.wait_instances_ready(KILLED_INSTANCES, 30.0)
+        self._call_all_nodes()
+        self._stop_calling(PAUSED_INSTANCE)
+        fleet.send_signal(PAUSED_INSTANCE, signal.SIGSTOP)
         fleet.publish(LANAUDIERE.rules.replace("retries=2", "retries=1", 1))
         await asyncio.sleep(PAUSE_S)
-        fleet.send_signal(PAUSED, signal.SIGCONT)
-        self._call_all()
+        fleet.send_signal(PAUSED_INSTANCE, signal.SIGCONT)
+        self._call_all_nodes()
         await asyncio.sleep(SETTLE_S)
-        self._avoid(STOPPED)
-        fleet.send_signal(STOPPED, signal.SIGTERM)
-        self.exit_code = await fleet.exit_code(STOPPED)
+        self._stop_calling(STOPPED_INSTANCE)
+        fleet.send_signal(STOPPED_INSTANCE, signal.SIGTERM)
+        self.exit_code = await fleet.exit_code(STOPPED_INSTANCE)
         await asyncio.sleep(SETTLE_S)
 
-    def _call_all(self) -> None:
+    def _call_all_nodes(self) -> None:
         self.callers.targets = [
-            site.url for site in self.fleet.endpoints.values()
+            endpoints.url for endpoints in self.fleet.endpoints.values()
         ]
 
-    def _avoid(self, instance_id: str) -> None:
-        """Makes the callers send no new calls to one node.
+    def _stop_calling(self, instance_id: str) -> None:
+        """Removes one node from the targets of new calls.
 
-        Callers of a killed node always lose their connection; this measures
-        the calls through the nodes that keep running.
+        Callers of a killed node always lose their connection; the measurement
+        is about calls through the nodes that keep running.
         """
         url = self.fleet.endpoints[instance_id].url
         self.callers.targets = [
@@ -74,8 +74,8 @@
         ]
 
     async def run(self) -> None:
-        """Calls until the faults are over."""
-        self._call_all()
+        """Sends requests until all faults have been injected."""
+        self._call_all_nodes()
         loop = asyncio.get_running_loop()
         faults = asyncio.create_task(self.inject_faults())
         while not faults.done():
@@ -84,12 +84,12 @@
 
 
 async def measure_process_faults(is_quick: bool) -> list[Figure]:
-    """Measures what callers see while processes die, pause and stop."""
+    """Measures outcomes while node processes are killed, paused and stopped."""
     with tempfile.TemporaryDirectory() as folder:
         fleet = ProcessFleet(
             LANAUDIERE, random.Random(SEED), pathlib.Path(folder)
         )
-        run = _Run(fleet)
+        run = _FaultRun(fleet)
         try:
             await fleet.start()
             if not await fleet.wait_ready():
@@ -100,10 +100,10 @@
     return _figures(run)
 
 
-def _figures(run: _Run) -> list[Figure]:
+def _figures(run: _FaultRun) -> list[Figure]:
     records = run.callers.records
     runs = [r for up in run.fleet.upstreams.values() for r in up.runs]
-    checked = audit.audit_requests(records, runs)
+    audited = audit.audit_requests(records, runs)
     counts = run.callers.counts()
     values = {
         "requests": sum(counts.values()),
@@ -111,10 +111,10 @@
         "not_run": counts["not-run"],
         "outcome_unknown": counts["unknown"],
         "failed": counts["failed"],
-        "runs_doubled": checked.runs_doubled,
-        "not_run_but_ran": checked.not_run_but_ran,
-        "answers_mixed_up": checked.answers_mixed_up,
-        "answered_without_run": checked.answered_without_run,
+        "runs_doubled": audited.runs_doubled,
+        "not_run_but_ran": audited.not_run_but_ran,
+        "answers_mixed_up": audited.answers_mixed_up,
+        "answered_without_run": audited.answered_without_run,
         "stop_exit_code": -1 if run.exit_code is None else run.exit_code,
     }
     nodes = len(run.fleet.endpoints)
