Name both sides of the retry measurement

`ours` and `plain` are `nodes_effect` and `direct_effect`; `_measure_mesh`, `seconds`, `QUICK_S` and `found` are `_measure_nodes`, `duration_s`, `QUICK_DURATION_S` and `figures`. "Another measurement" is named: zone_move.

--- a/magnoliafork/bench/retry_amplification.py
+++ b/magnoliafork/bench/retry_amplification.py
@@ -26,8 +26,8 @@
 SEED = 20_261_204
 RATE_PER_S = 80.0
 WARM_UP_S = 1.0
-QUICK_S = 1.0
-FULL_S = 8.0
+QUICK_DURATION_S = 1.0
+FULL_DURATION_S = 8.0
 
 
 class Fault(enum.StrEnum):
@@ -65,7 +65,7 @@
 
 
 class _FaultyFleet(Fleet):
-    """Deployment whose upstreams can be made to fail."""
+    """Fleet whose upstreams fail on demand."""
 
     async def _start_upstream(self, instance_id: str) -> None:
         service = self.endpoints[instance_id].instance.service
@@ -84,7 +84,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Amplification:
-    """Effect of a fault on requests.
+    """Attempts and failures per request during a fault.
 
     Attributes:
         attempts_per_request: Requests at upstreams per caller's request.
@@ -113,8 +113,8 @@
 def failing_third(services: Sequence[str], count: int) -> set[str]:
     """Returns every third instance of each service, shifted per service.
 
-    The shift spreads the failures over the zones; one zone that fails as a
-    whole is another measurement.
+    The shift spreads the failures over the zones; `zone_move` measures the
+    loss of a whole zone.
 
     >>> sorted(failing_third(["a", "b"], 3))
     ['a-1', 'b-2']
@@ -127,8 +127,8 @@
     }
 
 
-async def _measure_mesh(
-    spec: DeploymentSpec, fault: Fault, seconds: float
+async def _measure_nodes(
+    spec: DeploymentSpec, fault: Fault, duration_s: float
 ) -> Amplification:
     rng = random.Random(SEED)
     fleet = _FaultyFleet(spec, rng)
@@ -136,7 +136,7 @@
         await fleet.start()
         if not await fleet.wait_ready():
             raise RuntimeError("the fleet did not get ready")
-        targets = [site.url for site in fleet.endpoints.values()]
+        targets = [endpoints.url for endpoints in fleet.endpoints.values()]
         warm_up = Callers(spec.patterns, RATE_PER_S, rng)
         warm_up.targets = targets
         await warm_up.run_until(_now_s() + WARM_UP_S)
@@ -144,7 +144,7 @@
         attempts_before = _begin_fault(spec, upstreams, fault)
         callers = Callers(spec.patterns, RATE_PER_S, rng)
         callers.targets = targets
-        await callers.run_until(_now_s() + seconds)
+        await callers.run_until(_now_s() + duration_s)
         attempts = _attempts(upstreams) - attempts_before
         return amplification(callers.records, attempts)
     finally:
@@ -152,7 +152,7 @@
 
 
 async def _measure_direct_sender(
-    spec: DeploymentSpec, fault: Fault, seconds: float
+    spec: DeploymentSpec, fault: Fault, duration_s: float
 ) -> Amplification:
     rng = random.Random(SEED)
     upstreams: list[FaultyUpstream] = []
@@ -160,15 +160,15 @@
     try:
         for service in spec.services:
             for number in range(spec.servers_per_service):
-                key = f"{service}-{number + 1}"
-                upstream = FaultyUpstream(spec.behaviour(service, key))
+                instance_id = f"{service}-{number + 1}"
+                upstream = FaultyUpstream(spec.behaviour(service, instance_id))
                 upstreams.append(upstream)
                 port = await upstream.start(HOST, 0)
-                targets[service][key] = f"http://{HOST}:{port}"
+                targets[service][instance_id] = f"http://{HOST}:{port}"
         table = route_table(spec.rules)
 
-        def callers() -> DirectCallers:
-            started = DirectCallers(
+        def new_callers() -> DirectCallers:
+            callers = DirectCallers(
                 table,
                 spec.patterns,
                 RATE_PER_S,
@@ -176,15 +176,15 @@
                 RoundRobin(),
                 RetryPolicy.UNCONDITIONAL,
             )
-            started.targets = targets
-            return started
+            callers.targets = targets
+            return callers
 
-        await callers().run_until(_now_s() + WARM_UP_S)
+        await new_callers().run_until(_now_s() + WARM_UP_S)
         attempts_before = _begin_fault(spec, upstreams, fault)
-        measured = callers()
-        await measured.run_until(_now_s() + seconds)
+        measured_callers = new_callers()
+        await measured_callers.run_until(_now_s() + duration_s)
         attempts = _attempts(upstreams) - attempts_before
-        return amplification(measured.records, attempts)
+        return amplification(measured_callers.records, attempts)
     finally:
         for upstream in upstreams:
             await upstream.stop()
@@ -208,32 +208,32 @@
 async def _measure_fault(
     spec: DeploymentSpec, fault: Fault, is_quick: bool
 ) -> list[Figure]:
-    seconds = QUICK_S if is_quick else FULL_S
+    duration_s = QUICK_DURATION_S if is_quick else FULL_DURATION_S
     runs = (
-        _measure_mesh(spec, fault, seconds),
-        _measure_direct_sender(spec, fault, seconds),
+        _measure_nodes(spec, fault, duration_s),
+        _measure_direct_sender(spec, fault, duration_s),
     )
     if is_quick:
-        ours, plain = await asyncio.gather(*runs)
+        nodes_effect, direct_effect = await asyncio.gather(*runs)
     else:
-        ours, plain = [await run for run in runs]
+        nodes_effect, direct_effect = [await run for run in runs]
     nodes = len(spec.services) * spec.servers_per_service
     return [
         Figure(
             "retry_amplification",
             fault.value,
             nodes,
-            ours.attempts_per_request,
+            nodes_effect.attempts_per_request,
             "attempts per request",
-            plain.attempts_per_request,
+            direct_effect.attempts_per_request,
         ),
         Figure(
             "retry_failed",
             fault.value,
             nodes,
-            ours.failed_percent,
+            nodes_effect.failed_percent,
             "% of requests",
-            plain.failed_percent,
+            direct_effect.failed_percent,
         ),
     ]
 
@@ -241,20 +241,20 @@
 async def measure(is_quick: bool) -> list[Figure]:
     """Compares the nodes with a sender that retries every failure.
 
-    The plain sender retries up to three times, and also requests that may have
-    run, such as payments.
+    The direct sender retries up to three times, and also requests that may
+    have run, such as payments.
     """
-    # Callers do not repeat requests, so that every further attempt is the
-    # sender's.
+    # Callers do not repeat requests, so that every attempt after the first is
+    # the sender's.
     patterns = tuple(
         dataclasses.replace(pattern, is_keyed=False)
         for pattern in LANAUDIERE.patterns
     )
     spec = dataclasses.replace(LANAUDIERE, patterns=patterns)
-    found: list[Figure] = []
+    figures: list[Figure] = []
     for fault in (Fault.CUT,) if is_quick else tuple(Fault):
-        found += await _measure_fault(spec, fault, is_quick)
-    return found
+        figures += await _measure_fault(spec, fault, is_quick)
+    return figures
 
 
 def _now_s() -> float:
