Name both sides of the zone move

`plain`, `seen`, `load`, `best` and `_Upstreams` are `direct_senders`, `measured`, `calling`, `best_direct` and `_DirectUpstreams`; `_measure_mesh` is `_measure_nodes`. "Requests of these" read oddly. The field `falls` keeps its name, because the figures are named after it; local variables count crashes.

--- a/magnoliafork/bench/zone_move.py
+++ b/magnoliafork/bench/zone_move.py
@@ -26,7 +26,7 @@
 SEED = 20_261_204
 # Share of the remaining slots that the busiest service needs while the zone
 # is out.
-UTILIZATION = 0.85
+TARGET_UTILIZATION = 0.85
 OURS = "ours"
 ROUND_ROBIN = "round robin"
 LEAST_CONNECTIONS = "least connections"
@@ -67,8 +67,8 @@
     Attributes:
         calls: Requests that were in progress when the zone left or started
             later.
-        failed: Requests of these without an answer that may have run.
-        shed: Requests of these that were not run.
+        failed: Those without a valid answer that may have run.
+        shed: Those that were not run.
         p99_before_ms: Latency of answers before the zone left.
         p99_during_ms: Latency of answers from then on.
         falls: Crashes of upstreams from overload, from then on.
@@ -83,9 +83,15 @@
 
 
 def quality(
-    records: Sequence[CallRecord], out_at_s: float, falls: int
+    records: Sequence[CallRecord], out_at_s: float, crashes: int
 ) -> Quality:
-    """Returns what callers saw from the time when the zone left."""
+    """Returns what callers saw before and after the zone left.
+
+    Args:
+        records: Requests that have ended.
+        out_at_s: Time when the zone left, on the loop's clock.
+        crashes: Crashes of upstreams from overload since then.
+    """
     before: list[CallRecord] = []
     during: list[CallRecord] = []
     for record in records:
@@ -99,7 +105,7 @@
         shed=shed,
         p99_before_ms=_p99_ms(before),
         p99_during_ms=_p99_ms(during),
-        falls=falls,
+        falls=crashes,
     )
 
 
@@ -107,12 +113,12 @@
     """Returns the figures of all variants.
 
     The baseline of a p99 is the one before the zone left. The baseline of the
-    nodes' counts is the better one of the plain senders.
+    nodes' counts is the better one of the direct senders.
     """
-    found: list[Figure] = []
-    plain = [q for name, q in by_variant.items() if name != OURS]
-    for variant, seen in by_variant.items():
-        count = nodes if variant == OURS else 0
+    rows: list[Figure] = []
+    direct_senders = [q for name, q in by_variant.items() if name != OURS]
+    for variant, measured in by_variant.items():
+        node_count = nodes if variant == OURS else 0
 
         def add(
             name: str,
@@ -120,25 +126,28 @@
             unit: str,
             baseline: float | None,
             variant: str = variant,
-            count: int = count,
+            node_count: int = node_count,
         ) -> None:
             name = f"zone_move_{name}"
-            found.append(Figure(name, variant, count, value, unit, baseline))
+            rows.append(
+                Figure(name, variant, node_count, value, unit, baseline)
+            )
 
-        add("calls", seen.calls, "calls", None)
+        add("calls", measured.calls, "calls", None)
         for name in ("failed", "shed", "falls"):
-            best = min(getattr(other, name) for other in plain)
-            baseline = best if variant == OURS else None
+            best_direct = min(getattr(other, name) for other in direct_senders)
+            baseline = best_direct if variant == OURS else None
             unit = "falls" if name == "falls" else "calls"
-            add(name, getattr(seen, name), unit, baseline)
-        add("p99", seen.p99_during_ms, "ms", seen.p99_before_ms)
-    return found
+            add(name, getattr(measured, name), unit, baseline)
+        add("p99", measured.p99_during_ms, "ms", measured.p99_before_ms)
+    return rows
 
 
 def high_load_service_time_s(spec: DeploymentSpec, rate_per_s: float) -> float:
     """Returns the service time that keeps the remaining zones highly utilized.
 
-    This machine limits the request rate, so the upstreams are slowed down.
+    The machine limits the request rate, so the utilization is reached by a
+    longer service time.
     """
     table = route_table(spec.rules)
     weights: dict[str, int] = {}
@@ -147,12 +156,12 @@
         weights[service] = weights.get(service, 0) + pattern.weight
     share = max(weights.values()) / sum(weights.values())
     slots_left = spec.slots * (spec.servers_per_service - 1)
-    return UTILIZATION * slots_left / (rate_per_s * share)
+    return TARGET_UTILIZATION * slots_left / (rate_per_s * share)
 
 
 def _high_load_spec(rate_per_s: float) -> DeploymentSpec:
-    # Callers do not repeat requests, so that every request that was shed
-    # counts.
+    # Callers do not repeat requests, so that each request that was shed counts
+    # as shed.
     patterns = tuple(
         dataclasses.replace(pattern, is_keyed=False)
         for pattern in LANAUDIERE.patterns
@@ -164,7 +173,7 @@
     )
 
 
-async def _measure_mesh(spec: DeploymentSpec, plan: Plan) -> Quality:
+async def _measure_nodes(spec: DeploymentSpec, plan: Plan) -> Quality:
     rng = random.Random(SEED)
     fleet = Fleet(spec, rng)
     zone = spec.moved_zone
@@ -172,7 +181,7 @@
         await fleet.start()
         if not await fleet.wait_ready():
             raise RuntimeError("the fleet did not get ready")
-        targets = [site.url for site in fleet.endpoints.values()]
+        targets = [endpoints.url for endpoints in fleet.endpoints.values()]
         warm_up = Callers(spec.patterns, plan.rate_per_s / 10, rng)
         warm_up.targets = targets
         await warm_up.run_until(_now_s() + plan.warm_up_s)
@@ -180,26 +189,28 @@
         callers.targets = targets
         out_at_s = _now_s() + plan.before_s
         back_at_s = out_at_s + plan.out_s
-        load = asyncio.create_task(callers.run_until(back_at_s + plan.back_s))
+        calling = asyncio.create_task(
+            callers.run_until(back_at_s + plan.back_s)
+        )
         await _sleep_until(out_at_s)
         crashes_before = _crash_count(fleet.upstreams.values())
         fleet.publish(
             spec.rules.replace(f"zone {zone} ", f"zone {zone} out ", 1)
         )
         await _sleep_until(back_at_s)
-        for key, site in fleet.endpoints.items():
-            if site.instance.zone == zone:
-                fleet.upstreams[key].begin_cold_start()
+        for instance_id, endpoints in fleet.endpoints.items():
+            if endpoints.instance.zone == zone:
+                fleet.upstreams[instance_id].begin_cold_start()
         fleet.publish(spec.rules)
-        await load
-        falls = _crash_count(fleet.upstreams.values()) - crashes_before
-        return quality(callers.records, out_at_s, falls)
+        await calling
+        crashes = _crash_count(fleet.upstreams.values()) - crashes_before
+        return quality(callers.records, out_at_s, crashes)
     finally:
         await fleet.stop()
 
 
-class _Upstreams:
-    """The upstreams of a deployment without nodes."""
+class _DirectUpstreams:
+    """Upstreams of a deployment, called without nodes."""
 
     def __init__(self, spec: DeploymentSpec) -> None:
         self._spec = spec
@@ -212,32 +223,32 @@
         for service in spec.services:
             self._servers[service] = {}
             for number in range(spec.servers_per_service):
-                key = f"{service}-{number + 1}"
-                server = UpstreamServer(spec.behaviour(service, key))
-                self._servers[service][key] = server
-                self._zones[key] = spec.zones[number % len(spec.zones)]
+                instance_id = f"{service}-{number + 1}"
+                server = UpstreamServer(spec.behaviour(service, instance_id))
+                self._servers[service][instance_id] = server
+                self._zones[instance_id] = spec.zones[number % len(spec.zones)]
                 port = await server.start(HOST, 0)
-                self._urls[key] = f"http://{HOST}:{port}"
+                self._urls[instance_id] = f"http://{HOST}:{port}"
 
     def targets(self, zone_out: str = "") -> dict[str, dict[str, str]]:
         return {
             service: {
-                key: self._urls[key]
-                for key in servers
-                if self._zones[key] != zone_out
+                instance_id: self._urls[instance_id]
+                for instance_id in servers
+                if self._zones[instance_id] != zone_out
             }
             for service, servers in self._servers.items()
         }
 
     def begin_cold_start(self, zone: str) -> None:
         for servers in self._servers.values():
-            for key, server in servers.items():
-                if self._zones[key] == zone:
+            for instance_id, server in servers.items():
+                if self._zones[instance_id] == zone:
                     server.begin_cold_start()
 
     def crash_count(self) -> int:
         return sum(
-            _crash_count(item.values()) for item in self._servers.values()
+            _crash_count(servers.values()) for servers in self._servers.values()
         )
 
     async def stop(self) -> None:
@@ -249,11 +260,11 @@
 async def _measure_direct_sender(
     spec: DeploymentSpec, plan: Plan, picker: Picker
 ) -> Quality:
-    """Runs a plain sender, which learns of the move without any delay."""
+    """Runs a direct sender, which learns of the move without any delay."""
     rng = random.Random(SEED)
     zone = spec.moved_zone
     table = route_table(spec.rules)
-    upstreams = _Upstreams(spec)
+    upstreams = _DirectUpstreams(spec)
 
     def callers_at(rate_per_s: float) -> DirectCallers:
         callers = DirectCallers(
@@ -269,36 +280,38 @@
         callers = callers_at(plan.rate_per_s)
         out_at_s = _now_s() + plan.before_s
         back_at_s = out_at_s + plan.out_s
-        load = asyncio.create_task(callers.run_until(back_at_s + plan.back_s))
+        calling = asyncio.create_task(
+            callers.run_until(back_at_s + plan.back_s)
+        )
         await _sleep_until(out_at_s)
         crashes_before = upstreams.crash_count()
         callers.targets = upstreams.targets(zone_out=zone)
         await _sleep_until(back_at_s)
         upstreams.begin_cold_start(zone)
         callers.targets = upstreams.targets()
-        await load
-        falls = upstreams.crash_count() - crashes_before
-        return quality(callers.records, out_at_s, falls)
+        await calling
+        crashes = upstreams.crash_count() - crashes_before
+        return quality(callers.records, out_at_s, crashes)
     finally:
         await upstreams.stop()
 
 
 async def measure(is_quick: bool) -> list[Figure]:
-    """Takes a zone out of service and puts it back while callers call."""
+    """Takes a zone out of service and puts it back under load."""
     plan = QUICK if is_quick else FULL
     spec = _high_load_spec(plan.rate_per_s)
     picker = LeastConnections(random.Random(SEED))
     runs = {
-        OURS: _measure_mesh(spec, plan),
+        OURS: _measure_nodes(spec, plan),
         ROUND_ROBIN: _measure_direct_sender(spec, plan, RoundRobin()),
         LEAST_CONNECTIONS: _measure_direct_sender(spec, plan, picker),
     }
     if plan.is_concurrent:
-        seen = list(await asyncio.gather(*runs.values()))
+        measured = list(await asyncio.gather(*runs.values()))
     else:
-        seen = [await run for run in runs.values()]
+        measured = [await run for run in runs.values()]
     nodes = len(spec.services) * spec.servers_per_service
-    return figures(dict(zip(runs, seen, strict=True)), nodes)
+    return figures(dict(zip(runs, measured, strict=True)), nodes)
 
 
 def _crash_count(upstreams: Iterable[UpstreamServer]) -> int:
