--- a/magnoliafork/bench/figure.py
+++ b/magnoliafork/bench/figure.py
@@ -7,7 +7,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Figure:
-    """A measured value beside that of a baseline in the same run.
+    """A measured value and that of a baseline in the same run.
 
     Attributes:
         name: What was measured.
@@ -39,5 +39,5 @@
         return json.dumps({**dataclasses.asdict(self), "ratio": ratio})
 
 
-# Called with whether the run must be quick; returns the measured figures.
+# Takes `is_quick`, whether the run must be short; returns its figures.
 Measurement = Callable[[bool], Awaitable[list[Figure]]]
