--- a/magnoliafork/bench/plots.py
+++ b/magnoliafork/bench/plots.py
@@ -1,4 +1,4 @@
-"""Plots of a run: one panel per figure name, values beside baselines."""
+"""Plots the figures of a run: a panel for each name, values and baselines."""
 
 import pathlib
 from collections.abc import Sequence
@@ -32,14 +32,14 @@
     )
     panels = list(axes.flat)
     for panel, (name, group) in zip(panels, by_name.items(), strict=False):
-        _draw(panel, name, group)
+        _draw_panel(panel, name, group)
     for panel in panels[len(by_name) :]:
         panel.set_visible(False)
     canvas.savefig(path, format="svg")
     pyplot.close(canvas)
 
 
-def _draw(panel: Any, name: str, group: Sequence[Figure]) -> None:
+def _draw_panel(panel: Any, name: str, group: Sequence[Figure]) -> None:
     positions = range(len(group))
     panel.barh(
         [position - _BAR_HEIGHT / 2 for position in positions],
