--- a/magnoliafork/bench/processes.py
+++ b/magnoliafork/bench/processes.py
@@ -1,4 +1,4 @@
-"""Child processes of a measurement, ended by their ids."""
+"""Child processes of a measurement; ends only those that it started."""
 
 import asyncio
 import pathlib
