--- a/magnoliafork/bench/registry.py
+++ b/magnoliafork/bench/registry.py
@@ -1,4 +1,4 @@
-"""The measurements of the bench, in the order in which they run."""
+"""Lists the measurements of the bench in the order in which they run."""
 
 from magnoliafork.bench import (
     added_latency,
@@ -13,7 +13,7 @@
 )
 from magnoliafork.bench.figure import Measurement
 
-BENCH = (
+BENCH_MEASUREMENTS = (
     *added_latency.MEASUREMENTS,
     *choice_cost.MEASUREMENTS,
     *zone_move.MEASUREMENTS,
@@ -23,7 +23,7 @@
     *control.MEASUREMENTS,
 )
 # Too slow for the quick run.
-FULL_ONLY = process_faults.MEASUREMENTS
+FULL_RUN_MEASUREMENTS = process_faults.MEASUREMENTS
 
 
 def measurements(is_capacity: bool, is_quick: bool) -> list[Measurement]:
@@ -35,5 +35,5 @@
     if is_capacity:
         return list(capacity.MEASUREMENTS)
     if is_quick:
-        return list(BENCH)
-    return [*BENCH, *FULL_ONLY]
+        return list(BENCH_MEASUREMENTS)
+    return [*BENCH_MEASUREMENTS, *FULL_RUN_MEASUREMENTS]
