--- a/magnoliafork/bench/synthetic.py
+++ b/magnoliafork/bench/synthetic.py
@@ -1,4 +1,4 @@
-"""Fleets and rules of any size for measurements."""
+"""Generates rules, deployments and members of any size for measurements."""
 
 from magnoliafork.model.instance import Instance, Member, MemberState
 from magnoliafork.standins.deployments import DeploymentSpec
@@ -19,8 +19,10 @@
     for number in range(service_count):
         name = f"service-{number}"
         lines.append(f"service {name} slots=12 connections=120 # bench")
-        count = retries if number == 0 else 2
-        lines.append(f"route GET * /{name}/* -> {name} retries={count} # bench")
+        route_retries = retries if number == 0 else 2
+        lines.append(
+            f"route GET * /{name}/* -> {name} retries={route_retries} # bench"
+        )
     return "\n".join(lines) + "\n"
 
 
