--- a/magnoliafork/bench/trace_cost.py
+++ b/magnoliafork/bench/trace_cost.py
@@ -3,13 +3,13 @@
 from magnoliafork.bench.figure import Figure, Measurement
 from magnoliafork.observe.trace_cost import RATIOS, cost_us
 
-OFF = "off"
+TRACING_OFF = "off"
 
 
 async def measure(is_quick: bool) -> list[Figure]:
-    """Times a hop at each sampling ratio; the baseline is without traces.
+    """Times a hop at each sampling ratio; the baseline has tracing off.
 
-    The quick run leaves the full ratio out, which takes seconds.
+    The quick run leaves out the ratio 1.0, which takes seconds.
     """
     costs = {
         name: round(cost_us(ratio), 3)
@@ -23,7 +23,7 @@
             0,
             cost,
             "us per hop",
-            None if name == OFF else costs[OFF],
+            None if name == TRACING_OFF else costs[TRACING_OFF],
         )
         for name, cost in costs.items()
     ]
