--- a/magnoliafork/bench/upstream_process.py
+++ b/magnoliafork/bench/upstream_process.py
@@ -1,4 +1,4 @@
-"""An upstream stand-in as a process of its own.
+"""Runs an upstream stand-in as a separate process.
 
 Run it with `python -m magnoliafork.bench.upstream_process PORT`.
 """
@@ -16,7 +16,7 @@
 
 
 async def _serve(port: int) -> None:
-    # Answers at once, so that differences come from the path to it.
+    # Answers without delay, so that latencies differ only by the path.
     behaviour = UpstreamBehaviour(
         service="orders",
         instance_id="orders-1",
