Name the soak's callers after their keep-alive connections

"Kept" callers and requests did not say what is kept; HTTP calls such connections keep-alive. `KeptCaller` and `KeptRequest` are `KeepAliveCaller` and `KeepAliveRequest`.

--- a/magnoliafork/tests/soak/callers.py
+++ b/magnoliafork/tests/soak/callers.py
@@ -26,7 +26,7 @@
 
 
 @dataclasses.dataclass
-class KeptRequest:
+class KeepAliveRequest:
     """One request on a kept connection, as its caller saw it.
 
     Times are loop times; None stands for what did not happen.
@@ -58,14 +58,14 @@
     problem: str = ""
 
 
-class KeptCaller:
+class KeepAliveCaller:
     """Sends requests on one connection after the other, without retries.
 
     It does not care whether the node is ready.
     """
 
     def __init__(
-        self, machine: Machine, name: str, requests: list[KeptRequest]
+        self, machine: Machine, name: str, requests: list[KeepAliveRequest]
     ) -> None:
         """Creates a caller; the name decides all choices.
 
@@ -136,7 +136,7 @@
         loop = asyncio.get_running_loop()
         self._count += 1
         is_payment = self._rng.random() < 0.4
-        request = KeptRequest(
+        request = KeepAliveRequest(
             self._machine.host,
             f"{self._name}-{self._count}",
             "POST" if is_payment else "GET",
@@ -178,7 +178,7 @@
     async def _read_answer(
         self,
         reader: asyncio.StreamReader,
-        request: KeptRequest,
+        request: KeepAliveRequest,
         expected: bytes,
     ) -> bool:
         data = bytearray()
--- a/magnoliafork/tests/soak/losses.py
+++ b/magnoliafork/tests/soak/losses.py
@@ -5,7 +5,7 @@
 import math
 from collections.abc import Sequence
 
-from magnoliafork.tests.soak.callers import DEADLINE_S, KeptRequest
+from magnoliafork.tests.soak.callers import DEADLINE_S, KeepAliveRequest
 from magnoliafork.tests.soak.fleet import GRACE_PERIOD_S, Machine
 
 # Time without an unplanned fault before a request.
@@ -30,14 +30,14 @@
     end_s: float = math.inf
     is_planned: bool = False
 
-    def touches(self, request: KeptRequest) -> bool:
+    def touches(self, request: KeepAliveRequest) -> bool:
         """Whether a request was not in calm because of this fault."""
         sent_s = request.sent_s or request.ended_s
         return self.begin_s <= request.ended_s and self.end_s > sent_s - CALM_S
 
 
 def find_losses(
-    requests: Sequence[KeptRequest],
+    requests: Sequence[KeepAliveRequest],
     machines: Sequence[Machine],
     spans: Sequence[FaultSpan],
 ) -> list[str]:
@@ -68,7 +68,7 @@
 
 
 def _is_lost(
-    request: KeptRequest,
+    request: KeepAliveRequest,
     work: Sequence[tuple[float, float]],
     stops_s: Sequence[float],
 ) -> bool:
@@ -89,7 +89,7 @@
 
 
 def _is_broken_off(
-    request: KeptRequest,
+    request: KeepAliveRequest,
     work: Sequence[tuple[float, float]],
     stops_s: Sequence[float],
 ) -> bool:
@@ -103,7 +103,7 @@
 
 
 def _describe(
-    request: KeptRequest,
+    request: KeepAliveRequest,
     work: Sequence[tuple[float, float]],
     stops_s: Sequence[float],
 ) -> str:
--- a/magnoliafork/tests/soak/run.py
+++ b/magnoliafork/tests/soak/run.py
@@ -15,7 +15,7 @@
 import tempfile
 from collections.abc import Awaitable, Callable, Sequence
 
-from magnoliafork.tests.soak.callers import KeptCaller, KeptRequest
+from magnoliafork.tests.soak.callers import KeepAliveCaller, KeepAliveRequest
 from magnoliafork.tests.soak.fleet import Machine, SoakFleet
 from magnoliafork.tests.soak.losses import FaultSpan, find_losses
 
@@ -70,7 +70,7 @@
         self._next_id = 0
         self._unrepeatable: dict[str, int] = {}
         self._spans: list[FaultSpan] = []
-        self._kept_requests: list[KeptRequest] = []
+        self._kept_requests: list[KeepAliveRequest] = []
         self._start_s = asyncio.get_running_loop().time()
         self.findings = Findings()
 
@@ -91,7 +91,9 @@
 
     async def _send(self, end_s: float) -> None:
         callers = [
-            KeptCaller(machine, f"{self._seed}-{number}", self._kept_requests)
+            KeepAliveCaller(
+                machine, f"{self._seed}-{number}", self._kept_requests
+            )
             for machine in self._fleet.machines
             for number in range(self.kept_connections)
         ]
--- a/magnoliafork/tests/soak/test_losses.py
+++ b/magnoliafork/tests/soak/test_losses.py
@@ -5,7 +5,7 @@
 import pytest
 
 from magnoliafork.tests.platform.standins import ServerStandIn
-from magnoliafork.tests.soak.callers import KeptRequest
+from magnoliafork.tests.soak.callers import KeepAliveRequest
 from magnoliafork.tests.soak.fleet import Machine
 from magnoliafork.tests.soak.losses import FaultSpan, find_losses
 from magnoliafork.tests.soak.proxy import LinkProxy
@@ -36,7 +36,7 @@
             begin_s, end_s = work_s
             span_s = (STOP_S + begin_s, STOP_S + end_s)
             server.work_spans_s[f"r{number}"] = span_s
-        request = KeptRequest("h", f"r{number}", "GET", status=status)
+        request = KeepAliveRequest("h", f"r{number}", "GET", status=status)
         request.sent_s = STOP_S + sent_s
         request.ended_s = STOP_S + ended_s
         requests.append(request)
