Name the faults of the soak by what they do

`_hang_up`, `_store_away`, `_take_out` and `_configure` are `_send_sighup`, `_interrupt_store`, `_evacuate_zone` and `_publish_configurations`; the seeds choose the same faults as before. The report of a violated seed prints these names, so that it differs from reports of earlier runs.

`callers` and `kept_connections`, which are numbers, are `caller_count` and `connections_per_node`; `kind` is `soak_class`.

--- a/magnoliafork/tests/soak/planned.py
+++ b/magnoliafork/tests/soak/planned.py
@@ -21,43 +21,46 @@
     """Restarts, SIGHUPs and configuration changes; callers never cease."""
 
     # Others would retry without end while most nodes are down.
-    callers = 0
+    caller_count = 0
     run_s = 12.0
-    kept_connections = 9
+    connections_per_node = 9
     timeout_ms = int(DEADLINE_S * 1000)
     # Enough for all callers when most nodes are down.
     slots = 24
 
-    async def _inject(self, end_s: float) -> None:
+    async def _inject_faults(self, end_s: float) -> None:
         loop = asyncio.get_running_loop()
         await asyncio.sleep(self._fault_rng.random())
         while loop.time() < end_s - 2.0:
-            fault = self._fault_rng.choice(self._faults())
+            fault = self._fault_rng.choice(self._fault_choices())
             machines = list(self._fleet.machines)
             self._fault_rng.shuffle(machines)
             count = self._fault_rng.choice([1, 1, 2, 3, 4])
             await asyncio.gather(
-                *[self._apply(fault, machine) for machine in machines[:count]]
+                *[
+                    self._apply_fault(fault, machine)
+                    for machine in machines[:count]
+                ]
             )
             await asyncio.sleep(self._fault_rng.random())
 
-    def _faults(self) -> Sequence[Fault]:
+    def _fault_choices(self) -> Sequence[Fault]:
         return [
             self._stop,
             self._stop,
-            self._hang_up_and_stop,
+            self._send_sighup_and_stop,
             self._stop_twice,
             self._stop_during_start,
-            self._stop_and_configure,
-            self._hang_up,
-            self._configure,
+            self._stop_and_publish,
+            self._send_sighup,
+            self._publish_configurations,
         ]
 
     def _is_planned(self, fault: Fault) -> bool:
         return True
 
-    async def _hang_up_and_stop(self, machine: Machine) -> None:
-        await self._hang_up(machine)
+    async def _send_sighup_and_stop(self, machine: Machine) -> None:
+        await self._send_sighup(machine)
         await asyncio.sleep(self._fault_rng.choice([0.0, 0.05]))
         await self._stop(machine)
 
@@ -74,10 +77,10 @@
         await asyncio.sleep(self._fault_rng.random() * START_S)
         await self._stop(machine)
 
-    async def _stop_and_configure(self, machine: Machine) -> None:
+    async def _stop_and_publish(self, machine: Machine) -> None:
         stop = asyncio.create_task(self._stop(machine))
         await asyncio.sleep(self._fault_rng.random() * GRACE_PERIOD_S / 2)
-        await self._configure(machine)
+        await self._publish_configurations(machine)
         await stop
 
 
--- a/magnoliafork/tests/soak/run.py
+++ b/magnoliafork/tests/soak/run.py
@@ -19,9 +19,9 @@
 from magnoliafork.tests.soak.fleet import Machine, SoakFleet
 from magnoliafork.tests.soak.losses import FaultSpan, find_losses
 
-CALLERS = 6
+CALLER_COUNT = 6
 # Kept connections to each node.
-KEPT_CONNECTIONS = 2
+CONNECTIONS_PER_NODE = 2
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Time in which late copies of requests would still arrive.
 SETTLE_S = 1.0
@@ -54,8 +54,8 @@
     """Traffic and faults of one seed."""
 
     run_s = 6.0
-    callers = CALLERS
-    kept_connections = KEPT_CONNECTIONS
+    caller_count = CALLER_COUNT
+    connections_per_node = CONNECTIONS_PER_NODE
     timeout_ms = 2000
     slots = 4
 
@@ -79,7 +79,7 @@
         loop = asyncio.get_running_loop()
         end_s = loop.time() + seconds
         await asyncio.gather(
-            self._inject(end_s),
+            self._inject_faults(end_s),
             self._send(end_s),
         )
         await self._check_recovery()
@@ -95,10 +95,10 @@
                 machine, f"{self._seed}-{number}", self._kept_requests
             )
             for machine in self._fleet.machines
-            for number in range(self.kept_connections)
+            for number in range(self.connections_per_node)
         ]
         await asyncio.gather(
-            *[self._call(end_s) for _ in range(self.callers)],
+            *[self._call(end_s) for _ in range(self.caller_count)],
             *[caller.run(end_s) for caller in callers],
         )
 
@@ -130,33 +130,33 @@
 
     # Faults.
 
-    async def _inject(self, end_s: float) -> None:
+    async def _inject_faults(self, end_s: float) -> None:
         loop = asyncio.get_running_loop()
         tasks: list[asyncio.Task[None]] = []
         while loop.time() < end_s - 1.0:
             await asyncio.sleep(0.2 + self._fault_rng.random() * 0.6)
-            fault = self._fault_rng.choice(self._faults())
+            fault = self._fault_rng.choice(self._fault_choices())
             machine = self._fault_rng.choice(self._fleet.machines)
-            tasks.append(asyncio.create_task(self._apply(fault, machine)))
+            tasks.append(asyncio.create_task(self._apply_fault(fault, machine)))
         await asyncio.gather(*tasks)
 
-    def _faults(self) -> Sequence[Fault]:
+    def _fault_choices(self) -> Sequence[Fault]:
         return [
             self._kill,
             self._stop,
             self._pause,
-            self._hang_up,
-            self._store_away,
-            self._configure,
-            self._drain,
-            self._take_out,
+            self._send_sighup,
+            self._interrupt_store,
+            self._publish_configurations,
+            self._drain_server,
+            self._evacuate_zone,
             self._lose_answers,
             self._reset_links,
             self._silence_links,
             self._delay_links,
         ]
 
-    async def _apply(self, fault: Fault, machine: Machine) -> None:
+    async def _apply_fault(self, fault: Fault, machine: Machine) -> None:
         loop = asyncio.get_running_loop()
         name = getattr(fault, "__name__", "").strip("_")
         span = FaultSpan(
@@ -173,7 +173,11 @@
             span.end_s += SILENT_LINK_S
 
     def _is_planned(self, fault: Fault) -> bool:
-        return fault in (self._stop, self._hang_up, self._configure)
+        return fault in (
+            self._stop,
+            self._send_sighup,
+            self._publish_configurations,
+        )
 
     async def _kill(self, machine: Machine) -> None:
         if self._is_up(machine):
@@ -194,11 +198,11 @@
             process.send_signal(signal.SIGCONT)
         machine.is_paused = False
 
-    async def _hang_up(self, machine: Machine) -> None:
+    async def _send_sighup(self, machine: Machine) -> None:
         if self._is_up(machine) and machine.process is not None:
             machine.process.send_signal(signal.SIGHUP)
 
-    async def _store_away(self, machine: Machine) -> None:
+    async def _interrupt_store(self, machine: Machine) -> None:
         del machine
         store = self._fleet.store
         if self._fault_rng.random() < 0.5:
@@ -208,18 +212,18 @@
         await asyncio.sleep(0.3 + self._fault_rng.random())
         store.status, store.is_silent = 200, False
 
-    async def _configure(self, machine: Machine) -> None:
+    async def _publish_configurations(self, machine: Machine) -> None:
         del machine
         for _ in range(self._fault_rng.randint(1, 4)):
             self._fleet.change_configuration()
             await asyncio.sleep(0.1)
 
-    async def _drain(self, machine: Machine) -> None:
+    async def _drain_server(self, machine: Machine) -> None:
         self._fleet.announce(machine, "draining")
         await asyncio.sleep(0.5 + self._fault_rng.random())
         self._fleet.announce(machine, "ready")
 
-    async def _take_out(self, machine: Machine) -> None:
+    async def _evacuate_zone(self, machine: Machine) -> None:
         key = f"op/evacuate/{machine.zone}"
         self._fleet.store.put(key, {})
         await asyncio.sleep(0.5 + self._fault_rng.random())
@@ -293,7 +297,7 @@
 async def run_seed(
     seed: int,
     seconds: float | None = None,
-    kind: type[Soak] = Soak,
+    soak_class: type[Soak] = Soak,
     log_folder: pathlib.Path | None = None,
 ) -> Findings:
     """Runs one seed; all processes have ended when it returns.
@@ -301,22 +305,29 @@
     Args:
         seed: Decides all choices.
         seconds: Time in which faults are injected, if not that of the kind.
-        kind: Kind of traffic and faults.
+        soak_class: Kind of traffic and faults.
         log_folder: Receives the logs of the nodes if a guarantee was violated.
     """
     with tempfile.TemporaryDirectory() as folder:
         # Concurrent runs must not share addresses.
         network = f"127.{100 + seed % 100}.{seed // 100 % 200}"
         fleet = SoakFleet(
-            pathlib.Path(folder), network, kind.timeout_ms, kind.slots
+            pathlib.Path(folder),
+            network,
+            soak_class.timeout_ms,
+            soak_class.slots,
         )
         try:
             await fleet.start()
-            findings = await kind(fleet, seed).run(seconds or kind.run_s)
+            findings = await soak_class(fleet, seed).run(
+                seconds or soak_class.run_s
+            )
         finally:
             await fleet.close()
         if findings.violations and log_folder is not None:
-            shutil.copytree(folder, log_folder / f"{kind.__name__}-{seed}")
+            shutil.copytree(
+                folder, log_folder / f"{soak_class.__name__}-{seed}"
+            )
         return findings
 
 
@@ -334,17 +345,19 @@
         print("  " + ", ".join(findings.faults), flush=True)
 
 
-def main(arguments: Sequence[str], kind: type[Soak] = Soak) -> int:
+def main(arguments: Sequence[str], soak_class: type[Soak] = Soak) -> int:
     """Runs a range of seeds; returns 1 if a guarantee was violated.
 
     Args:
         arguments: First and last seed; a folder for logs may follow.
-        kind: Kind of traffic and faults.
+        soak_class: Kind of traffic and faults.
     """
     log_folder = pathlib.Path(arguments[2]) if len(arguments) > 2 else None
     failed = 0
     for seed in range(int(arguments[0]), int(arguments[1]) + 1):
-        findings = asyncio.run(run_seed(seed, kind=kind, log_folder=log_folder))
+        findings = asyncio.run(
+            run_seed(seed, soak_class=soak_class, log_folder=log_folder)
+        )
         failed += bool(findings.violations)
         report(seed, findings)
     return 1 if failed else 0
