Name the exits and publications of the soak's fleet

`bad_ends`, `late_ends`, `announce`, `log_of` and `links` are `unexpected_exits`, `late_exits`, `publish_server_state`, `read_log` and `link_proxy`; `change_configuration` publishes a version and is `publish_configuration`. The report counts "late exits".

--- a/magnoliafork/tests/soak/fleet.py
+++ b/magnoliafork/tests/soak/fleet.py
@@ -46,7 +46,7 @@
     service: str
     zone: str
     server: ServerStandIn
-    links: LinkProxy
+    link_proxy: LinkProxy
     process: asyncio.subprocess.Process | None = None
     is_paused: bool = False
     is_restarting: bool = False
@@ -57,8 +57,8 @@
     """Starts, restarts and ends the processes of one run.
 
     Attributes:
-        bad_ends: Processes that ended by themselves or failed, in words.
-        late_ends: Processes that were killed after the grace period.
+        unexpected_exits: Processes that ended by themselves or failed.
+        late_exits: Processes that were killed after the grace period.
     """
 
     def __init__(
@@ -82,8 +82,8 @@
         self._timeout_ms = timeout_ms
         self._slots = slots
         self._watchers: list[asyncio.Task[None]] = []
-        self.bad_ends: list[str] = []
-        self.late_ends = 0
+        self.unexpected_exits: list[str] = []
+        self.late_exits = 0
         self._folder = folder
         self.store = StoreStandIn()
         self.version = 0
@@ -106,11 +106,11 @@
     async def start(self) -> None:
         """Starts store, servers and nodes; waits until every node serves."""
         await self.store.start()
-        self.change_configuration()
+        self.publish_configuration()
         for machine in self.machines:
             await machine.server.start()
-            await machine.links.start()
-            self.announce(machine, "ready")
+            await machine.link_proxy.start()
+            self.publish_server_state(machine, "ready")
             await self.start_node(machine)
         await self.wait_until_serving()
 
@@ -125,11 +125,11 @@
                 process.kill()
                 await process.wait()
         for machine in self.machines:
-            await machine.links.stop()
+            await machine.link_proxy.stop()
             await machine.server.stop()
         await self.store.stop()
 
-    def change_configuration(self) -> str:
+    def publish_configuration(self) -> str:
         """Publishes the next version; returns the path that only it has."""
         self.version += 1
         path = f"/v{self.version}/"
@@ -139,7 +139,7 @@
         )
         return path
 
-    def announce(self, machine: Machine, state: str) -> None:
+    def publish_server_state(self, machine: Machine, state: str) -> None:
         """Stores the entry in which a server announces its state."""
         entry = server_entry(
             machine.host, machine.service, machine.zone, state, self._slots
@@ -157,7 +157,7 @@
             },
             "addresses": {
                 "callers": f"{host}:{CALLER_PORT}",
-                "peers": f"{machine.links.node_host}:{PEER_PORT}",
+                "peers": f"{machine.link_proxy.node_host}:{PEER_PORT}",
                 "ready": f"{host}:{READY_PORT}",
                 "metrics": f"{host}:{METRICS_PORT}",
                 "upstream": f"{host}:{SERVER_PORT}",
@@ -182,7 +182,9 @@
         assert machine.process is not None
         code = await machine.process.wait()
         if not machine.is_restarting:
-            self.bad_ends.append(f"{machine.host} ended by itself: {code}")
+            self.unexpected_exits.append(
+                f"{machine.host} ended by itself: {code}"
+            )
 
     async def restart(self, machine: Machine, number: signal.Signals) -> None:
         """Ends a node with a signal and starts it again.
@@ -202,18 +204,22 @@
         except TimeoutError:
             process.kill()
             await process.wait()
-            self.late_ends += 1
-            log = self.log_of(machine)
+            self.late_exits += 1
+            log = self.read_log(machine)
             if log.rfind("stop_begun") > log.rfind("node_stopped"):
-                self.bad_ends.append(f"{machine.host} did not stop in time")
+                self.unexpected_exits.append(
+                    f"{machine.host} did not stop in time"
+                )
         # SIGTERM ends a process that has not listened yet by default.
         expected = (0, UNKNOWN_CODE, -number, -signal.SIGKILL)
         if process.returncode not in expected:
-            self.bad_ends.append(f"{machine.host} ended: {process.returncode}")
+            self.unexpected_exits.append(
+                f"{machine.host} ended: {process.returncode}"
+            )
         await self.start_node(machine)
         machine.is_restarting = False
 
-    def log_of(self, machine: Machine) -> str:
+    def read_log(self, machine: Machine) -> str:
         """Returns the log output of the nodes of a machine."""
         return (self._folder / f"{machine.host}.log").read_text("utf-8")
 
--- a/magnoliafork/tests/soak/run.py
+++ b/magnoliafork/tests/soak/run.py
@@ -39,7 +39,7 @@
         violations: Guarantees that were violated, in words.
         statuses: Answers by status; 0 stands for none.
         faults: Faults in the order in which they were injected.
-        late_ends: Processes that were killed after the grace period.
+        late_exits: Processes that were killed after the grace period.
     """
 
     violations: list[str] = dataclasses.field(default_factory=list)
@@ -47,7 +47,7 @@
         default_factory=collections.Counter
     )
     faults: list[str] = dataclasses.field(default_factory=list)
-    late_ends: int = 0
+    late_exits: int = 0
 
 
 class Soak:
@@ -215,13 +215,13 @@
     async def _publish_configurations(self, machine: Machine) -> None:
         del machine
         for _ in range(self._fault_rng.randint(1, 4)):
-            self._fleet.change_configuration()
+            self._fleet.publish_configuration()
             await asyncio.sleep(0.1)
 
     async def _drain_server(self, machine: Machine) -> None:
-        self._fleet.announce(machine, "draining")
+        self._fleet.publish_server_state(machine, "draining")
         await asyncio.sleep(0.5 + self._fault_rng.random())
-        self._fleet.announce(machine, "ready")
+        self._fleet.publish_server_state(machine, "ready")
 
     async def _evacuate_zone(self, machine: Machine) -> None:
         key = f"op/evacuate/{machine.zone}"
@@ -235,16 +235,16 @@
         machine.server.loses_answers = False
 
     async def _reset_links(self, machine: Machine) -> None:
-        machine.links.reset()
+        machine.link_proxy.reset()
 
     async def _silence_links(self, machine: Machine) -> None:
         way = self._fault_rng.choice(["in", "out", "both"])
-        machine.links.silence(to_node=way != "out", to_peers=way != "in")
+        machine.link_proxy.silence(to_node=way != "out", to_peers=way != "in")
 
     async def _delay_links(self, machine: Machine) -> None:
-        machine.links.delay_s = self._fault_rng.random() * 0.2
+        machine.link_proxy.delay_s = self._fault_rng.random() * 0.2
         await asyncio.sleep(0.5 + self._fault_rng.random())
-        machine.links.delay_s = 0.0
+        machine.link_proxy.delay_s = 0.0
 
     @staticmethod
     def _is_up(machine: Machine) -> bool:
@@ -256,7 +256,7 @@
     # Guarantees.
 
     async def _check_recovery(self) -> None:
-        path = self._fleet.change_configuration()
+        path = self._fleet.publish_configuration()
         del path
         try:
             await self._fleet.wait_until_serving()
@@ -273,8 +273,8 @@
         self.findings.violations += find_losses(
             self._kept_requests, self._fleet.machines, self._spans
         )
-        self.findings.violations += self._fleet.bad_ends
-        self.findings.late_ends = self._fleet.late_ends
+        self.findings.violations += self._fleet.unexpected_exits
+        self.findings.late_exits = self._fleet.late_exits
         runs: collections.Counter[str] = collections.Counter()
         for machine in self._fleet.machines:
             runs.update(machine.server.runs)
@@ -286,7 +286,7 @@
             if status in NOT_RUN_STATUSES and runs[attempt_id]:
                 self._add_violation(f"{attempt_id} got {status} and has run")
         for machine in self._fleet.machines:
-            log = self._fleet.log_of(machine)
+            log = self._fleet.read_log(machine)
             if "Traceback" in log or "internal_error" in log:
                 self._add_violation(f"{machine.host} logged an internal error")
 
@@ -335,7 +335,7 @@
     """Prints what a seed found."""
     print(
         f"seed {seed}: {dict(sorted(findings.statuses.items()))}"
-        f" {len(findings.faults)} faults, {findings.late_ends} late ends,"
+        f" {len(findings.faults)} faults, {findings.late_exits} late exits,"
         f" {'violated' if findings.violations else 'kept'}",
         flush=True,
     )
