Reword the callers of the soak

"None stands for what did not happen" and "the name decides all choices" read oddly. Limits of time are timeouts, the socket is no peer link, and "orderly end", "no end" and "was denied" in reports are EOF, timeout and status 404.

--- a/magnoliafork/tests/soak/callers.py
+++ b/magnoliafork/tests/soak/callers.py
@@ -1,4 +1,4 @@
-"""Callers that keep their connections open as long as the node does."""
+"""Callers that keep connections open until the node closes them."""
 
 import asyncio
 import dataclasses
@@ -12,24 +12,24 @@
 
 DEADLINE_S = 8.0
 # Longer than the deadline and the slow reading of the largest answer.
-ANSWER_LIMIT_S = 16.0
+ANSWER_TIMEOUT_S = 16.0
 MIN_WORK_MS = 20
 MAX_WORK_MS = 4000
-RECONNECT_S = 0.05
-CONNECT_LIMIT_S = 1.0
-# Every n-th connection reads slowly.
+RECONNECT_DELAY_S = 0.05
+CONNECT_TIMEOUT_S = 1.0
+# Every n-th connection to a node reads slowly.
 SLOW_EVERY = 3
 SLOW_BYTES_PER_S = 24_000
 SLOW_RECEIVE_BUFFER_BYTES = 4096
-SLOW_ANSWER_BYTES = (30_000, 150_000)
+SLOW_ANSWER_BYTES_RANGE = (30_000, 150_000)
 READ_BYTES = 65_536
 
 
 @dataclasses.dataclass
 class KeepAliveRequest:
-    """One request on a kept connection, as its caller saw it.
+    """One request on a keep-alive connection, as its caller saw it.
 
-    Times are loop times; None stands for what did not happen.
+    Times are loop times; None if the event did not happen.
 
     Attributes:
         host: Machine of the node.
@@ -37,12 +37,12 @@
         method: Method of the request.
         slow_bytes: Length of an answer that is read slowly, or 0.
         sent_s: When its last byte was sent.
-        received_bytes: Bytes of an answer.
+        received_bytes: Number of bytes of the answer that arrived.
         status: Status of the whole answer, or 0.
-        is_sealed: Whether the whole answer is the server's.
+        is_sealed: Whether the whole answer has the server's seal.
         ended_s: When the whole answer or the end of the connection arrived.
-        end: How the connection ended, if it did so without a whole answer.
-        problem: What is wrong with the answer, in words.
+        end: How the connection ended without a whole answer, or empty.
+        problem: Description of a wrong or missing answer, or empty.
     """
 
     host: str
@@ -61,18 +61,18 @@
 class KeepAliveCaller:
     """Sends requests on one connection after the other, without retries.
 
-    It does not care whether the node is ready.
+    It ignores whether the node reports ready.
     """
 
     def __init__(
         self, machine: Machine, name: str, requests: list[KeepAliveRequest]
     ) -> None:
-        """Creates a caller; the name decides all choices.
+        """Creates a caller; the name seeds its random choices.
 
         Args:
             machine: Machine of the node.
             name: Ends with the number of the connection.
-            requests: Receives all requests.
+            requests: List to which each request is added.
         """
         self._machine = machine
         self._name = f"k{machine.host.rpartition('.')[2]}-{name}"
@@ -87,10 +87,10 @@
         loop = asyncio.get_running_loop()
         while loop.time() < end_s:
             try:
-                async with asyncio.timeout(CONNECT_LIMIT_S):
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     reader, writer = await self._connect()
             except (OSError, TimeoutError):
-                await asyncio.sleep(RECONNECT_S)
+                await asyncio.sleep(RECONNECT_DELAY_S)
                 continue
             try:
                 while loop.time() < end_s and not reader.at_eof():
@@ -109,25 +109,25 @@
         address = (self._machine.host, CALLER_PORT)
         if not self._is_slow:
             return await asyncio.open_connection(*address)
-        link = socket.socket()
-        link.setsockopt(
+        connection = socket.socket()
+        connection.setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_RECEIVE_BUFFER_BYTES
         )
-        link.setblocking(False)
+        connection.setblocking(False)
         try:
-            await asyncio.get_running_loop().sock_connect(link, address)
+            await asyncio.get_running_loop().sock_connect(connection, address)
         except BaseException:
-            link.close()
+            connection.close()
             raise
         return await asyncio.open_connection(
-            sock=link, limit=SLOW_RECEIVE_BUFFER_BYTES
+            sock=connection, limit=SLOW_RECEIVE_BUFFER_BYTES
         )
 
     def _pause_s(self) -> float:
-        kind = self._rng.random()
-        if kind < 0.4:
+        draw = self._rng.random()
+        if draw < 0.4:
             return 0.0
-        return self._rng.random() * (0.05 if kind < 0.8 else 1.5)
+        return self._rng.random() * (0.05 if draw < 0.8 else 1.5)
 
     async def _exchange(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -140,10 +140,10 @@
             self._machine.host,
             f"{self._name}-{self._count}",
             "POST" if is_payment else "GET",
-            self._rng.randint(*SLOW_ANSWER_BYTES) if self._is_slow else 0,
+            self._rng.randint(*SLOW_ANSWER_BYTES_RANGE) if self._is_slow else 0,
         )
-        ratio = MAX_WORK_MS / MIN_WORK_MS
-        work_ms = int(MIN_WORK_MS * ratio ** self._rng.random())
+        work_ratio = MAX_WORK_MS / MIN_WORK_MS
+        work_ms = int(MIN_WORK_MS * work_ratio ** self._rng.random())
         route = "pay" if is_payment else "a"
         path = f"/{route}/{request.attempt_id}?work_ms={work_ms}"
         if self._is_slow:
@@ -158,7 +158,7 @@
         self._requests.append(request)
         is_kept = False
         try:
-            async with asyncio.timeout(ANSWER_LIMIT_S):
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 writer.write(head.encode())
                 if body and self._rng.random() < 0.3:
                     await asyncio.sleep(self._rng.random() * 0.3)
@@ -170,8 +170,8 @@
         except OSError as error:
             request.end = "reset" if error.errno else "closed"
         except TimeoutError:
-            request.end = "no end"
-            request.problem = f"had no answer after {ANSWER_LIMIT_S} s"
+            request.end = "timeout"
+            request.problem = f"had no answer after {ANSWER_TIMEOUT_S} s"
         request.ended_s = loop.time()
         return is_kept
 
@@ -190,7 +190,7 @@
                 break
             chunk = await reader.read(READ_BYTES)
             if not chunk:
-                request.end = "orderly end"
+                request.end = "EOF"
                 return False
             data += chunk
             request.received_bytes = len(data)
@@ -202,5 +202,5 @@
             if body != expected.ljust(request.slow_bytes, b"."):
                 request.problem = "got another answer"
         elif request.status == 404:
-            request.problem = "was denied"
+            request.problem = "got status 404"
         return headers.get("connection") != "close"
