Reword the fleet of the soak

"Requests at which each server works at once" and "a process that has not listened yet by default" could be misread. Exit codes and signal numbers are named as such.

--- a/magnoliafork/tests/soak/fleet.py
+++ b/magnoliafork/tests/soak/fleet.py
@@ -1,4 +1,4 @@
-"""Node processes with stand-ins for the store and the upstreams."""
+"""Node processes, with stand-ins for the store and the upstreams."""
 
 import asyncio
 import dataclasses
@@ -26,9 +26,9 @@
 from magnoliafork.tests.soak.proxy import LinkProxy
 
 ROUTES = [["/a/", "safe", "x"], ["/pay/", "unsafe", "y"]]
-START_LIMIT_S = 20.0
-# What asyncio reports if a process ends while a signal is sent to it.
-UNKNOWN_CODE = 255
+START_TIMEOUT_S = 20.0
+# Exit code that asyncio reports if a process ends while it is sent a signal.
+UNKNOWN_EXIT_CODE = 255
 # The default of a node's settings.
 GRACE_PERIOD_S = 6.0
 ROOT = pathlib.Path(__file__).parents[3]
@@ -57,8 +57,9 @@
     """Starts, restarts and ends the processes of one run.
 
     Attributes:
-        unexpected_exits: Processes that ended by themselves or failed.
-        late_exits: Processes that were killed after the grace period.
+        unexpected_exits: Descriptions of processes that ended by themselves,
+            failed or did not stop in time.
+        late_exits: Number of processes killed after the grace period.
     """
 
     def __init__(
@@ -77,7 +78,7 @@
             folder: Receives settings and logs.
             network: First three bytes of the addresses.
             timeout_ms: Timeout of each route.
-            slots: Requests at which each server works at once.
+            slots: Requests that each server runs at a time.
         """
         self._timeout_ms = timeout_ms
         self._slots = slots
@@ -140,7 +141,7 @@
         return path
 
     def publish_server_state(self, machine: Machine, state: str) -> None:
-        """Stores the entry in which a server announces its state."""
+        """Writes the entry with a server's state to the store."""
         entry = server_entry(
             machine.host, machine.service, machine.zone, state, self._slots
         )
@@ -176,17 +177,19 @@
                 stdout=log,
                 stderr=log,
             )
-        self._watchers.append(asyncio.create_task(self._watch_end(machine)))
+        self._watchers.append(asyncio.create_task(self._watch_exit(machine)))
 
-    async def _watch_end(self, machine: Machine) -> None:
+    async def _watch_exit(self, machine: Machine) -> None:
         assert machine.process is not None
-        code = await machine.process.wait()
+        exit_code = await machine.process.wait()
         if not machine.is_restarting:
             self.unexpected_exits.append(
-                f"{machine.host} ended by itself: {code}"
+                f"{machine.host} ended by itself with exit code {exit_code}"
             )
 
-    async def restart(self, machine: Machine, number: signal.Signals) -> None:
+    async def restart(
+        self, machine: Machine, signal_number: signal.Signals
+    ) -> None:
         """Ends a node with a signal and starts it again.
 
         SIGKILL follows SIGTERM after the grace period.
@@ -195,9 +198,9 @@
         assert process is not None
         # A second restart would start two processes on one address.
         machine.is_restarting = True
-        if number == signal.SIGTERM:
+        if signal_number == signal.SIGTERM:
             machine.stops_s.append(asyncio.get_running_loop().time())
-        process.send_signal(number)
+        process.send_signal(signal_number)
         try:
             async with asyncio.timeout(GRACE_PERIOD_S):
                 await process.wait()
@@ -210,11 +213,11 @@
                 self.unexpected_exits.append(
                     f"{machine.host} did not stop in time"
                 )
-        # SIGTERM ends a process that has not listened yet by default.
-        expected = (0, UNKNOWN_CODE, -number, -signal.SIGKILL)
+        # By default, SIGTERM ends a process that has no signal handler yet.
+        expected = (0, UNKNOWN_EXIT_CODE, -signal_number, -signal.SIGKILL)
         if process.returncode not in expected:
             self.unexpected_exits.append(
-                f"{machine.host} ended: {process.returncode}"
+                f"{machine.host} ended with exit code {process.returncode}"
             )
         await self.start_node(machine)
         machine.is_restarting = False
@@ -245,7 +248,7 @@
 
     async def wait_until_serving(self) -> None:
         """Waits until every node serves the newest configuration."""
-        async with asyncio.timeout(START_LIMIT_S):
+        async with asyncio.timeout(START_TIMEOUT_S):
             for machine in self.machines:
                 path = f"/v{self.version}/"
                 while (await self.send(machine, "GET", path, "probe"))[
