Reword the soak of planned operations

"Others would retry without end" did not say which callers, and "callers never cease" is traffic without a break. `START_S` is `MAX_STOP_DELAY_S`.

--- a/magnoliafork/tests/soak/planned.py
+++ b/magnoliafork/tests/soak/planned.py
@@ -1,4 +1,4 @@
-"""Runs in which all faults are planned work.
+"""Soak runs in which all faults are planned operations.
 
 `python -m magnoliafork.tests.soak.planned FIRST LAST [LOGS]` runs a range of
 seeds and copies the logs of nodes to a folder if a guarantee was violated.
@@ -14,13 +14,14 @@
 from magnoliafork.tests.soak.run import Fault, Soak, main
 
 # Longest time after the start of a process at which it is stopped again.
-START_S = 1.5
+MAX_STOP_DELAY_S = 1.5
 
 
 class PlannedSoak(Soak):
-    """Restarts, SIGHUPs and configuration changes; callers never cease."""
+    """Restarts, SIGHUPs and configuration changes under continuous traffic."""
 
-    # Others would retry without end while most nodes are down.
+    # Callers without keep-alive connections would retry without end while most
+    # nodes are down.
     caller_count = 0
     run_s = 12.0
     connections_per_node = 9
@@ -74,7 +75,7 @@
 
     async def _stop_during_start(self, machine: Machine) -> None:
         await self._stop(machine)
-        await asyncio.sleep(self._fault_rng.random() * START_S)
+        await asyncio.sleep(self._fault_rng.random() * MAX_STOP_DELAY_S)
         await self._stop(machine)
 
     async def _stop_and_publish(self, machine: Machine) -> None:
