--- a/magnoliafork/tests/soak/proxy.py
+++ b/magnoliafork/tests/soak/proxy.py
@@ -13,8 +13,8 @@
     Attributes:
         peer: Stream to the peer.
         node: Stream to the node.
-        drops_to_node: Whether bytes of the peer are read and dropped.
-        drops_to_peers: Whether bytes of the node are read and dropped.
+        drops_to_node: Whether bytes from the peer are dropped.
+        drops_to_peers: Whether bytes from the node are dropped.
     """
 
     peer: asyncio.StreamWriter
@@ -24,7 +24,7 @@
 
 
 class LinkProxy:
-    """Delays, silences and resets the connections to one node.
+    """Delays, drops or resets the traffic between peers and one node.
 
     Attributes:
         node_host: Address on which the node listens.
@@ -48,7 +48,7 @@
         )
 
     async def stop(self) -> None:
-        """Closes everything."""
+        """Closes the listener and all connections."""
         if self._server is not None:
             self._server.close()
         self.reset()
@@ -76,8 +76,8 @@
                 self.node_host, self._port
             )
         except OSError:
-            # No process listens; the peer sees what it would see without a
-            # proxy.
+            # The node does not listen; its peer's connection fails, as it would
+            # without a proxy.
             writer.transport.abort()
             return
         connection = _Connection(writer, node_writer)
