Reword the run of a soak seed

"What a seed found" and "kind of traffic and faults" read oddly. `_check_runs` checks all guarantees and is `_check_guarantees`; `_unrepeatable` holds the statuses of payments; "was denied" is status 404.

--- a/magnoliafork/tests/soak/run.py
+++ b/magnoliafork/tests/soak/run.py
@@ -1,4 +1,4 @@
-"""One seeded run: traffic, injected faults and checked guarantees.
+"""Sends traffic, injects faults and checks guarantees, all from one seed.
 
 `python -m magnoliafork.tests.soak.run FIRST LAST [LOGS]` runs a range of seeds
 and copies the logs of the nodes to a folder if a guarantee was violated.
@@ -20,26 +20,26 @@
 from magnoliafork.tests.soak.losses import FaultSpan, find_losses
 
 CALLER_COUNT = 6
-# Kept connections to each node.
+# Keep-alive connections to each node.
 CONNECTIONS_PER_NODE = 2
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-# Time in which late copies of requests would still arrive.
+# Time in which late copies of requests still arrive at the servers.
 SETTLE_S = 1.0
 # Time after which a silenced link has been replaced.
-SILENT_LINK_S = 5.0
+LINK_REPLACEMENT_S = 5.0
 
 Fault = Callable[[Machine], Awaitable[None]]
 
 
 @dataclasses.dataclass
 class Findings:
-    """What callers and servers saw.
+    """Results of a run.
 
     Attributes:
-        violations: Guarantees that were violated, in words.
-        statuses: Answers by status; 0 stands for none.
+        violations: Descriptions of violated guarantees.
+        statuses: Number of answers by status; 0 is for requests without one.
         faults: Faults in the order in which they were injected.
-        late_exits: Processes that were killed after the grace period.
+        late_exits: Number of processes killed after the grace period.
     """
 
     violations: list[str] = dataclasses.field(default_factory=list)
@@ -51,7 +51,7 @@
 
 
 class Soak:
-    """Traffic and faults of one seed."""
+    """Traffic and faults of one seed; subclasses choose other faults."""
 
     run_s = 6.0
     caller_count = CALLER_COUNT
@@ -60,17 +60,17 @@
     slots = 4
 
     def __init__(self, fleet: SoakFleet, seed: int) -> None:
-        """Creates a run; the seed decides all choices."""
+        """Creates a run; the seed decides all random choices."""
         self._fleet = fleet
         self._seed = seed
         self._rng = random.Random(seed)
         # Separate from the callers' generator: their number of requests
         # depends on time and must not change the choice of faults.
         self._fault_rng = random.Random(f"faults {seed}")
-        self._next_id = 0
-        self._unrepeatable: dict[str, int] = {}
-        self._spans: list[FaultSpan] = []
-        self._kept_requests: list[KeepAliveRequest] = []
+        self._last_id = 0
+        self._payment_statuses: dict[str, int] = {}
+        self._fault_spans: list[FaultSpan] = []
+        self._keep_alive_requests: list[KeepAliveRequest] = []
         self._start_s = asyncio.get_running_loop().time()
         self.findings = Findings()
 
@@ -80,33 +80,33 @@
         end_s = loop.time() + seconds
         await asyncio.gather(
             self._inject_faults(end_s),
-            self._send(end_s),
+            self._send_requests(end_s),
         )
         await self._check_recovery()
         await asyncio.sleep(SETTLE_S)
-        self._check_runs()
+        self._check_guarantees()
         return self.findings
 
     # Traffic.
 
-    async def _send(self, end_s: float) -> None:
-        callers = [
+    async def _send_requests(self, end_s: float) -> None:
+        keep_alive_callers = [
             KeepAliveCaller(
-                machine, f"{self._seed}-{number}", self._kept_requests
+                machine, f"{self._seed}-{number}", self._keep_alive_requests
             )
             for machine in self._fleet.machines
             for number in range(self.connections_per_node)
         ]
         await asyncio.gather(
-            *[self._call(end_s) for _ in range(self.caller_count)],
-            *[caller.run(end_s) for caller in callers],
+            *[self._run_caller(end_s) for _ in range(self.caller_count)],
+            *[caller.run(end_s) for caller in keep_alive_callers],
         )
 
-    async def _call(self, end_s: float) -> None:
+    async def _run_caller(self, end_s: float) -> None:
         loop = asyncio.get_running_loop()
         while loop.time() < end_s:
-            self._next_id += 1
-            attempt_id = f"a{self._next_id}"
+            self._last_id += 1
+            attempt_id = f"a{self._last_id}"
             machine = self._rng.choice(self._fleet.machines)
             is_payment = self._rng.random() < 0.4
             method = "POST" if is_payment else "GET"
@@ -116,7 +116,7 @@
             )
             self.findings.statuses[status] += 1
             if is_payment:
-                self._unrepeatable[attempt_id] = status
+                self._payment_statuses[attempt_id] = status
             expected = f"{method} {path} "
             if is_payment:
                 expected += attempt_id
@@ -125,7 +125,7 @@
                     f"{attempt_id} got another answer: {body!r}"
                 )
             if status == 404:
-                self._add_violation(f"{attempt_id} was denied")
+                self._add_violation(f"{attempt_id} got status 404")
             await asyncio.sleep(self._rng.random() * 0.02)
 
     # Faults.
@@ -164,13 +164,13 @@
             loop.time(),
             is_planned=self._is_planned(fault),
         )
-        self._spans.append(span)
+        self._fault_spans.append(span)
         at_s = span.begin_s - self._start_s
         self.findings.faults.append(f"{at_s:.2f} {name} {machine.host}")
         await fault(machine)
         span.end_s = loop.time()
         if fault == self._silence_links:
-            span.end_s += SILENT_LINK_S
+            span.end_s += LINK_REPLACEMENT_S
 
     def _is_planned(self, fault: Fault) -> bool:
         return fault in (
@@ -180,16 +180,20 @@
         )
 
     async def _kill(self, machine: Machine) -> None:
-        if self._is_up(machine):
+        if self._is_running(machine):
             await self._fleet.restart(machine, signal.SIGKILL)
 
     async def _stop(self, machine: Machine) -> None:
-        if self._is_up(machine):
+        if self._is_running(machine):
             await self._fleet.restart(machine, signal.SIGTERM)
 
     async def _pause(self, machine: Machine) -> None:
         process = machine.process
-        if not self._is_up(machine) or process is None or machine.is_paused:
+        if (
+            not self._is_running(machine)
+            or process is None
+            or machine.is_paused
+        ):
             return
         machine.is_paused = True
         process.send_signal(signal.SIGSTOP)
@@ -199,7 +203,7 @@
         machine.is_paused = False
 
     async def _send_sighup(self, machine: Machine) -> None:
-        if self._is_up(machine) and machine.process is not None:
+        if self._is_running(machine) and machine.process is not None:
             machine.process.send_signal(signal.SIGHUP)
 
     async def _interrupt_store(self, machine: Machine) -> None:
@@ -238,8 +242,10 @@
         machine.link_proxy.reset()
 
     async def _silence_links(self, machine: Machine) -> None:
-        way = self._fault_rng.choice(["in", "out", "both"])
-        machine.link_proxy.silence(to_node=way != "out", to_peers=way != "in")
+        direction = self._fault_rng.choice(["in", "out", "both"])
+        machine.link_proxy.silence(
+            to_node=direction != "out", to_peers=direction != "in"
+        )
 
     async def _delay_links(self, machine: Machine) -> None:
         machine.link_proxy.delay_s = self._fault_rng.random() * 0.2
@@ -247,7 +253,7 @@
         machine.link_proxy.delay_s = 0.0
 
     @staticmethod
-    def _is_up(machine: Machine) -> bool:
+    def _is_running(machine: Machine) -> bool:
         process = machine.process
         if machine.is_paused or machine.is_restarting:
             return False
@@ -263,22 +269,22 @@
         except TimeoutError:
             self._add_violation("a node does not serve the last configuration")
 
-    def _check_runs(self) -> None:
-        for request in self._kept_requests:
+    def _check_guarantees(self) -> None:
+        for request in self._keep_alive_requests:
             self.findings.statuses[request.status] += 1
             if request.method == "POST":
-                self._unrepeatable[request.attempt_id] = request.status
+                self._payment_statuses[request.attempt_id] = request.status
             if request.problem:
                 self._add_violation(f"{request.attempt_id} {request.problem}")
         self.findings.violations += find_losses(
-            self._kept_requests, self._fleet.machines, self._spans
+            self._keep_alive_requests, self._fleet.machines, self._fault_spans
         )
         self.findings.violations += self._fleet.unexpected_exits
         self.findings.late_exits = self._fleet.late_exits
         runs: collections.Counter[str] = collections.Counter()
         for machine in self._fleet.machines:
             runs.update(machine.server.runs)
-        for attempt_id, status in self._unrepeatable.items():
+        for attempt_id, status in self._payment_statuses.items():
             if runs[attempt_id] > 1:
                 self._add_violation(
                     f"{attempt_id} ran {runs[attempt_id]} times"
@@ -303,9 +309,10 @@
     """Runs one seed; all processes have ended when it returns.
 
     Args:
-        seed: Decides all choices.
-        seconds: Time in which faults are injected, if not that of the kind.
-        soak_class: Kind of traffic and faults.
+        seed: Decides all random choices.
+        seconds: Time in which faults are injected; by default, that of the
+            soak class.
+        soak_class: Class that decides traffic and faults.
         log_folder: Receives the logs of the nodes if a guarantee was violated.
     """
     with tempfile.TemporaryDirectory() as folder:
@@ -332,7 +339,7 @@
 
 
 def report(seed: int, findings: Findings) -> None:
-    """Prints what a seed found."""
+    """Prints the findings of a seed."""
     print(
         f"seed {seed}: {dict(sorted(findings.statuses.items()))}"
         f" {len(findings.faults)} faults, {findings.late_exits} late exits,"
@@ -350,7 +357,7 @@
 
     Args:
         arguments: First and last seed; a folder for logs may follow.
-        soak_class: Kind of traffic and faults.
+        soak_class: Class that decides traffic and faults.
     """
     log_folder = pathlib.Path(arguments[2]) if len(arguments) > 2 else None
     failed = 0
