--- a/magnoliafork/tests/soak/test_losses.py
+++ b/magnoliafork/tests/soak/test_losses.py
@@ -1,4 +1,4 @@
-"""The check for lost requests, on requests made up by the tests."""
+"""The check for lost requests, on requests that the tests construct."""
 
 import asyncio
 
@@ -57,6 +57,7 @@
 def test_cut_request_is_a_loss(
     sent_s: float, ended_s: float, work_s: tuple[float, float] | None
 ) -> None:
+    """Guards against a soak that passes although a stop cuts requests."""
     assert losses(sent_s, ended_s, work_s) == 1
 
 
@@ -74,15 +75,18 @@
 def test_excused_request_is_no_loss(
     sent_s: float, ended_s: float, work_s: tuple[float, float] | None
 ) -> None:
+    """Guards against a soak that fails on cuts that no node can avoid."""
     assert losses(sent_s, ended_s, work_s) == 0
 
 
 def test_own_answer_in_place_of_a_server_at_work_is_a_loss() -> None:
+    """Guards against a soak that passes although a stop drops an answer."""
     assert losses(1.0, 2.0, (1.0, 3.0), status=502) == 1
     assert losses(1.0, 2.0, (1.0, 1.5), status=502) == 0
 
 
 def test_other_fault_excuses_up_to_three_cut_requests() -> None:
+    """Guards against one fault that hides many cuts on another machine."""
     other = FaultSpan("other", STOP_S, STOP_S + 1.0)
     own = FaultSpan("h", STOP_S, STOP_S + 1.0)
     assert losses(1.0, 1.1, (1.0, 1.5), spans=(other,), count=3) == 0
