--- a/magnoliafork/tests/platform/test_daemon.py
+++ b/magnoliafork/tests/platform/test_daemon.py
@@ -72,10 +72,7 @@
 def test_sighup_during_startup_does_not_end_the_process(
     tmp_path: pathlib.Path,
 ) -> None:
-    """Guards against SIGHUP ending a node that is still starting.
-
-    This happened when the settings changed while a node was restarted.
-    """
+    """Guards against SIGHUP ending a node that is still starting."""
     path = tmp_path / "node.yaml"
     path.write_text(SETTINGS, encoding="utf-8")
 
--- a/magnoliafork/tests/soak/run.py
+++ b/magnoliafork/tests/soak/run.py
@@ -1,4 +1,4 @@
-"""One seeded run: traffic, injected faults and checked guarantees.
+"""Sends traffic, injects faults and checks guarantees, all from one seed.
 
 `python -m magnoliafork.tests.soak.run FIRST LAST [LOGS]` runs a range of seeds
 and copies the logs of the nodes to a folder if a guarantee was violated.
@@ -15,31 +15,31 @@
 import tempfile
 from collections.abc import Awaitable, Callable, Sequence
 
-from magnoliafork.tests.soak.callers import KeptCaller, KeptRequest
+from magnoliafork.tests.soak.callers import KeepAliveCaller, KeepAliveRequest
 from magnoliafork.tests.soak.fleet import Machine, SoakFleet
 from magnoliafork.tests.soak.losses import FaultSpan, find_losses
 
-CALLERS = 6
-# Kept connections to each node.
-KEPT_CONNECTIONS = 2
+CALLER_COUNT = 6
+# Keep-alive connections to each node.
+CONNECTIONS_PER_NODE = 2
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-# Time in which late copies of requests would still arrive.
+# Time in which late copies of requests still arrive at the servers.
 SETTLE_S = 1.0
 # Time after which a silenced link has been replaced.
-SILENT_LINK_S = 5.0
+LINK_REPLACEMENT_S = 5.0
 
 Fault = Callable[[Machine], Awaitable[None]]
 
 
 @dataclasses.dataclass
 class Findings:
-    """What callers and servers saw.
+    """Results of a run.
 
     Attributes:
-        violations: Guarantees that were violated, in words.
-        statuses: Answers by status; 0 stands for none.
+        violations: Descriptions of violated guarantees.
+        statuses: Number of answers by status; 0 is for requests without one.
         faults: Faults in the order in which they were injected.
-        late_ends: Processes that were killed after the grace period.
+        late_exits: Number of processes killed after the grace period.
     """
 
     violations: list[str] = dataclasses.field(default_factory=list)
@@ -47,30 +47,30 @@
         default_factory=collections.Counter
     )
     faults: list[str] = dataclasses.field(default_factory=list)
-    late_ends: int = 0
+    late_exits: int = 0
 
 
 class Soak:
-    """Traffic and faults of one seed."""
+    """Traffic and faults of one seed; subclasses choose other faults."""
 
     run_s = 6.0
-    callers = CALLERS
-    kept_connections = KEPT_CONNECTIONS
+    caller_count = CALLER_COUNT
+    connections_per_node = CONNECTIONS_PER_NODE
     timeout_ms = 2000
     slots = 4
 
     def __init__(self, fleet: SoakFleet, seed: int) -> None:
-        """Creates a run; the seed decides all choices."""
+        """Creates a run; the seed decides all random choices."""
         self._fleet = fleet
         self._seed = seed
         self._rng = random.Random(seed)
         # Separate from the callers' generator: their number of requests
         # depends on time and must not change the choice of faults.
         self._fault_rng = random.Random(f"faults {seed}")
-        self._next_id = 0
-        self._unrepeatable: dict[str, int] = {}
-        self._spans: list[FaultSpan] = []
-        self._kept_requests: list[KeptRequest] = []
+        self._last_id = 0
+        self._payment_statuses: dict[str, int] = {}
+        self._fault_spans: list[FaultSpan] = []
+        self._keep_alive_requests: list[KeepAliveRequest] = []
         self._start_s = asyncio.get_running_loop().time()
         self.findings = Findings()
 
@@ -79,32 +79,34 @@
         loop = asyncio.get_running_loop()
         end_s = loop.time() + seconds
         await asyncio.gather(
-            self._inject(end_s),
-            self._send(end_s),
+            self._inject_faults(end_s),
+            self._send_requests(end_s),
         )
         await self._check_recovery()
         await asyncio.sleep(SETTLE_S)
-        self._check_runs()
+        self._check_guarantees()
         return self.findings
 
     # Traffic.
 
-    async def _send(self, end_s: float) -> None:
-        callers = [
-            KeptCaller(machine, f"{self._seed}-{number}", self._kept_requests)
+    async def _send_requests(self, end_s: float) -> None:
+        keep_alive_callers = [
+            KeepAliveCaller(
+                machine, f"{self._seed}-{number}", self._keep_alive_requests
+            )
             for machine in self._fleet.machines
-            for number in range(self.kept_connections)
+            for number in range(self.connections_per_node)
         ]
         await asyncio.gather(
-            *[self._call(end_s) for _ in range(self.callers)],
-            *[caller.run(end_s) for caller in callers],
+            *[self._run_caller(end_s) for _ in range(self.caller_count)],
+            *[caller.run(end_s) for caller in keep_alive_callers],
         )
 
-    async def _call(self, end_s: float) -> None:
+    async def _run_caller(self, end_s: float) -> None:
         loop = asyncio.get_running_loop()
         while loop.time() < end_s:
-            self._next_id += 1
-            attempt_id = f"a{self._next_id}"
+            self._last_id += 1
+            attempt_id = f"a{self._last_id}"
             machine = self._rng.choice(self._fleet.machines)
             is_payment = self._rng.random() < 0.4
             method = "POST" if is_payment else "GET"
@@ -114,7 +116,7 @@
             )
             self.findings.statuses[status] += 1
             if is_payment:
-                self._unrepeatable[attempt_id] = status
+                self._payment_statuses[attempt_id] = status
             expected = f"{method} {path} "
             if is_payment:
                 expected += attempt_id
@@ -123,38 +125,38 @@
                     f"{attempt_id} got another answer: {body!r}"
                 )
             if status == 404:
-                self._add_violation(f"{attempt_id} was denied")
+                self._add_violation(f"{attempt_id} got status 404")
             await asyncio.sleep(self._rng.random() * 0.02)
 
     # Faults.
 
-    async def _inject(self, end_s: float) -> None:
+    async def _inject_faults(self, end_s: float) -> None:
         loop = asyncio.get_running_loop()
         tasks: list[asyncio.Task[None]] = []
         while loop.time() < end_s - 1.0:
             await asyncio.sleep(0.2 + self._fault_rng.random() * 0.6)
-            fault = self._fault_rng.choice(self._faults())
+            fault = self._fault_rng.choice(self._fault_choices())
             machine = self._fault_rng.choice(self._fleet.machines)
-            tasks.append(asyncio.create_task(self._apply(fault, machine)))
+            tasks.append(asyncio.create_task(self._apply_fault(fault, machine)))
         await asyncio.gather(*tasks)
 
-    def _faults(self) -> Sequence[Fault]:
+    def _fault_choices(self) -> Sequence[Fault]:
         return [
             self._kill,
             self._stop,
             self._pause,
-            self._hang_up,
-            self._store_away,
-            self._configure,
-            self._drain,
-            self._take_out,
+            self._send_sighup,
+            self._interrupt_store,
+            self._publish_configurations,
+            self._drain_server,
+            self._evacuate_zone,
             self._lose_answers,
             self._reset_links,
             self._silence_links,
             self._delay_links,
         ]
 
-    async def _apply(self, fault: Fault, machine: Machine) -> None:
+    async def _apply_fault(self, fault: Fault, machine: Machine) -> None:
         loop = asyncio.get_running_loop()
         name = getattr(fault, "__name__", "").strip("_")
         span = FaultSpan(
@@ -162,28 +164,36 @@
             loop.time(),
             is_planned=self._is_planned(fault),
         )
-        self._spans.append(span)
+        self._fault_spans.append(span)
         at_s = span.begin_s - self._start_s
         self.findings.faults.append(f"{at_s:.2f} {name} {machine.host}")
         await fault(machine)
         span.end_s = loop.time()
         if fault == self._silence_links:
-            span.end_s += SILENT_LINK_S
+            span.end_s += LINK_REPLACEMENT_S
 
     def _is_planned(self, fault: Fault) -> bool:
-        return fault in (self._stop, self._hang_up, self._configure)
+        return fault in (
+            self._stop,
+            self._send_sighup,
+            self._publish_configurations,
+        )
 
     async def _kill(self, machine: Machine) -> None:
-        if self._is_up(machine):
+        if self._is_running(machine):
             await self._fleet.restart(machine, signal.SIGKILL)
 
     async def _stop(self, machine: Machine) -> None:
-        if self._is_up(machine):
+        if self._is_running(machine):
             await self._fleet.restart(machine, signal.SIGTERM)
 
     async def _pause(self, machine: Machine) -> None:
         process = machine.process
-        if not self._is_up(machine) or process is None or machine.is_paused:
+        if (
+            not self._is_running(machine)
+            or process is None
+            or machine.is_paused
+        ):
             return
         machine.is_paused = True
         process.send_signal(signal.SIGSTOP)
@@ -192,11 +202,11 @@
             process.send_signal(signal.SIGCONT)
         machine.is_paused = False
 
-    async def _hang_up(self, machine: Machine) -> None:
-        if self._is_up(machine) and machine.process is not None:
+    async def _send_sighup(self, machine: Machine) -> None:
+        if self._is_running(machine) and machine.process is not None:
             machine.process.send_signal(signal.SIGHUP)
 
-    async def _store_away(self, machine: Machine) -> None:
+    async def _interrupt_store(self, machine: Machine) -> None:
         del machine
         store = self._fleet.store
         if self._fault_rng.random() < 0.5:
@@ -206,18 +216,18 @@
         await asyncio.sleep(0.3 + self._fault_rng.random())
         store.status, store.is_silent = 200, False
 
-    async def _configure(self, machine: Machine) -> None:
+    async def _publish_configurations(self, machine: Machine) -> None:
         del machine
         for _ in range(self._fault_rng.randint(1, 4)):
-            self._fleet.change_configuration()
+            self._fleet.publish_configuration()
             await asyncio.sleep(0.1)
 
-    async def _drain(self, machine: Machine) -> None:
-        self._fleet.announce(machine, "draining")
+    async def _drain_server(self, machine: Machine) -> None:
+        self._fleet.publish_server_state(machine, "draining")
         await asyncio.sleep(0.5 + self._fault_rng.random())
-        self._fleet.announce(machine, "ready")
+        self._fleet.publish_server_state(machine, "ready")
 
-    async def _take_out(self, machine: Machine) -> None:
+    async def _evacuate_zone(self, machine: Machine) -> None:
         key = f"op/evacuate/{machine.zone}"
         self._fleet.store.put(key, {})
         await asyncio.sleep(0.5 + self._fault_rng.random())
@@ -229,19 +239,21 @@
         machine.server.loses_answers = False
 
     async def _reset_links(self, machine: Machine) -> None:
-        machine.links.reset()
+        machine.link_proxy.reset()
 
     async def _silence_links(self, machine: Machine) -> None:
-        way = self._fault_rng.choice(["in", "out", "both"])
-        machine.links.silence(to_node=way != "out", to_peers=way != "in")
+        direction = self._fault_rng.choice(["in", "out", "both"])
+        machine.link_proxy.silence(
+            to_node=direction != "out", to_peers=direction != "in"
+        )
 
     async def _delay_links(self, machine: Machine) -> None:
-        machine.links.delay_s = self._fault_rng.random() * 0.2
+        machine.link_proxy.delay_s = self._fault_rng.random() * 0.2
         await asyncio.sleep(0.5 + self._fault_rng.random())
-        machine.links.delay_s = 0.0
+        machine.link_proxy.delay_s = 0.0
 
     @staticmethod
-    def _is_up(machine: Machine) -> bool:
+    def _is_running(machine: Machine) -> bool:
         process = machine.process
         if machine.is_paused or machine.is_restarting:
             return False
@@ -250,29 +262,29 @@
     # Guarantees.
 
     async def _check_recovery(self) -> None:
-        path = self._fleet.change_configuration()
+        path = self._fleet.publish_configuration()
         del path
         try:
             await self._fleet.wait_until_serving()
         except TimeoutError:
             self._add_violation("a node does not serve the last configuration")
 
-    def _check_runs(self) -> None:
-        for request in self._kept_requests:
+    def _check_guarantees(self) -> None:
+        for request in self._keep_alive_requests:
             self.findings.statuses[request.status] += 1
             if request.method == "POST":
-                self._unrepeatable[request.attempt_id] = request.status
+                self._payment_statuses[request.attempt_id] = request.status
             if request.problem:
                 self._add_violation(f"{request.attempt_id} {request.problem}")
         self.findings.violations += find_losses(
-            self._kept_requests, self._fleet.machines, self._spans
+            self._keep_alive_requests, self._fleet.machines, self._fault_spans
         )
-        self.findings.violations += self._fleet.bad_ends
-        self.findings.late_ends = self._fleet.late_ends
+        self.findings.violations += self._fleet.unexpected_exits
+        self.findings.late_exits = self._fleet.late_exits
         runs: collections.Counter[str] = collections.Counter()
         for machine in self._fleet.machines:
             runs.update(machine.server.runs)
-        for attempt_id, status in self._unrepeatable.items():
+        for attempt_id, status in self._payment_statuses.items():
             if runs[attempt_id] > 1:
                 self._add_violation(
                     f"{attempt_id} ran {runs[attempt_id]} times"
@@ -280,7 +292,7 @@
             if status in NOT_RUN_STATUSES and runs[attempt_id]:
                 self._add_violation(f"{attempt_id} got {status} and has run")
         for machine in self._fleet.machines:
-            log = self._fleet.log_of(machine)
+            log = self._fleet.read_log(machine)
             if "Traceback" in log or "internal_error" in log:
                 self._add_violation(f"{machine.host} logged an internal error")
 
@@ -291,38 +303,46 @@
 async def run_seed(
     seed: int,
     seconds: float | None = None,
-    kind: type[Soak] = Soak,
+    soak_class: type[Soak] = Soak,
     log_folder: pathlib.Path | None = None,
 ) -> Findings:
     """Runs one seed; all processes have ended when it returns.
 
     Args:
-        seed: Decides all choices.
-        seconds: Time in which faults are injected, if not that of the kind.
-        kind: Kind of traffic and faults.
+        seed: Decides all random choices.
+        seconds: Time in which faults are injected; by default, that of the
+            soak class.
+        soak_class: Class that decides traffic and faults.
         log_folder: Receives the logs of the nodes if a guarantee was violated.
     """
     with tempfile.TemporaryDirectory() as folder:
         # Concurrent runs must not share addresses.
         network = f"127.{100 + seed % 100}.{seed // 100 % 200}"
         fleet = SoakFleet(
-            pathlib.Path(folder), network, kind.timeout_ms, kind.slots
+            pathlib.Path(folder),
+            network,
+            soak_class.timeout_ms,
+            soak_class.slots,
         )
         try:
             await fleet.start()
-            findings = await kind(fleet, seed).run(seconds or kind.run_s)
+            findings = await soak_class(fleet, seed).run(
+                seconds or soak_class.run_s
+            )
         finally:
             await fleet.close()
         if findings.violations and log_folder is not None:
-            shutil.copytree(folder, log_folder / f"{kind.__name__}-{seed}")
+            shutil.copytree(
+                folder, log_folder / f"{soak_class.__name__}-{seed}"
+            )
         return findings
 
 
 def report(seed: int, findings: Findings) -> None:
-    """Prints what a seed found."""
+    """Prints the findings of a seed."""
     print(
         f"seed {seed}: {dict(sorted(findings.statuses.items()))}"
-        f" {len(findings.faults)} faults, {findings.late_ends} late ends,"
+        f" {len(findings.faults)} faults, {findings.late_exits} late exits,"
         f" {'violated' if findings.violations else 'kept'}",
         flush=True,
     )
@@ -332,17 +352,19 @@
         print("  " + ", ".join(findings.faults), flush=True)
 
 
-def main(arguments: Sequence[str], kind: type[Soak] = Soak) -> int:
+def main(arguments: Sequence[str], soak_class: type[Soak] = Soak) -> int:
     """Runs a range of seeds; returns 1 if a guarantee was violated.
 
     Args:
         arguments: First and last seed; a folder for logs may follow.
-        kind: Kind of traffic and faults.
+        soak_class: Class that decides traffic and faults.
     """
     log_folder = pathlib.Path(arguments[2]) if len(arguments) > 2 else None
     failed = 0
     for seed in range(int(arguments[0]), int(arguments[1]) + 1):
-        findings = asyncio.run(run_seed(seed, kind=kind, log_folder=log_folder))
+        findings = asyncio.run(
+            run_seed(seed, soak_class=soak_class, log_folder=log_folder)
+        )
         failed += bool(findings.violations)
         report(seed, findings)
     return 1 if failed else 0
--- a/magnoliafork/tests/soak/test_losses.py
+++ b/magnoliafork/tests/soak/test_losses.py
@@ -1,11 +1,11 @@
-"""The check for lost requests, on requests made up by the tests."""
+"""The check for lost requests, on requests that the tests construct."""
 
 import asyncio
 
 import pytest
 
 from magnoliafork.tests.platform.standins import ServerStandIn
-from magnoliafork.tests.soak.callers import KeptRequest
+from magnoliafork.tests.soak.callers import KeepAliveRequest
 from magnoliafork.tests.soak.fleet import Machine
 from magnoliafork.tests.soak.losses import FaultSpan, find_losses
 from magnoliafork.tests.soak.proxy import LinkProxy
@@ -36,7 +36,7 @@
             begin_s, end_s = work_s
             span_s = (STOP_S + begin_s, STOP_S + end_s)
             server.work_spans_s[f"r{number}"] = span_s
-        request = KeptRequest("h", f"r{number}", "GET", status=status)
+        request = KeepAliveRequest("h", f"r{number}", "GET", status=status)
         request.sent_s = STOP_S + sent_s
         request.ended_s = STOP_S + ended_s
         requests.append(request)
@@ -57,6 +57,7 @@
 def test_cut_request_is_a_loss(
     sent_s: float, ended_s: float, work_s: tuple[float, float] | None
 ) -> None:
+    """Guards against a soak that passes although a stop cuts requests."""
     assert losses(sent_s, ended_s, work_s) == 1
 
 
@@ -74,15 +75,18 @@
 def test_excused_request_is_no_loss(
     sent_s: float, ended_s: float, work_s: tuple[float, float] | None
 ) -> None:
+    """Guards against a soak that fails on cuts that no node can avoid."""
     assert losses(sent_s, ended_s, work_s) == 0
 
 
 def test_own_answer_in_place_of_a_server_at_work_is_a_loss() -> None:
+    """Guards against a soak that passes although a stop drops an answer."""
     assert losses(1.0, 2.0, (1.0, 3.0), status=502) == 1
     assert losses(1.0, 2.0, (1.0, 1.5), status=502) == 0
 
 
 def test_other_fault_excuses_up_to_three_cut_requests() -> None:
+    """Guards against one fault that hides many cuts on another machine."""
     other = FaultSpan("other", STOP_S, STOP_S + 1.0)
     own = FaultSpan("h", STOP_S, STOP_S + 1.0)
     assert losses(1.0, 1.1, (1.0, 1.5), spans=(other,), count=3) == 0
