Keep a connection whose Hello is late

A peer whose loop is busy, or that is behind a congested path, accepts a connection at once and sends its Hello later. After 0.5 s the connection was closed, all calls that waited for it failed, and those of the next 0.1 to 0.3 s failed as well; then it all began again. Callers got a 503 where no other upstream was left, or where the wait had used up the time in which another one is tried. Over a path that adds 0.3 s each way, no connection opened at all.

Cause: one time limited both the wait of a call, which is short because another peer may be free, and the connection attempt, whose repetition costs the peer more than its end.

Ruled out: * a longer limit for both: each call to a dead peer would wait as long; * calls that always wait for a pending attempt: on a peer that stays silent, nearly every call would wait 0.5 s.

The attempt now goes on for 1.5 s. A call waits 0.5 s for the Hello, counted from its own start if that is later than the accept. Calls that begin when the Hello is 0.5 s late fail at once until it arrives, as they did in the pause after a failed attempt. Fences and probes wait for the whole attempt. The limit for the accept stays at 0.5 s.

--- a/magnoliafork/tests/wire/test_pool.py
+++ b/magnoliafork/tests/wire/test_pool.py
@@ -13,13 +13,15 @@
 from magnoliafork.wire.control_links import ControlLinkManager
 from magnoliafork.wire.identity import NodeIdentity
 from magnoliafork.wire.link import LinkTraffic
-from magnoliafork.wire.pool import PeerPool
+from magnoliafork.wire.pool import HELLO_WAIT_S, PeerPool
 from magnoliafork.wire.server import PeerServer
 
 REQUEST = messages.CallRequest(
     0, "r1", "s", "GET", "/", (), (), b"", True, 1, "", 900, False, False
 )
 
+CALL_INTERVAL_S = 0.05
+
 
 class _Handler:
     """Answers calls after a delay chosen by the request's path."""
@@ -58,6 +60,7 @@
         self.port = port
         self.is_silent = False
         self.delay_s = 0.0
+        self.busy_until_s = 0.0
         self.connections = 0
 
     async def serve(
@@ -80,7 +83,8 @@
         is_first: bool,
     ) -> None:
         while data := await reader.read(65536):
-            await asyncio.sleep(self.delay_s)
+            now_s = asyncio.get_running_loop().time()
+            await asyncio.sleep(max(self.delay_s, self.busy_until_s - now_s))
             if not (self.is_silent and is_first):
                 writer.write(data)
 
@@ -217,3 +221,76 @@
         assert reply == api.LinkFailure(False, 0, "cannot connect")
 
     virtual_time.run(_with_pool(check))
+
+
+async def _failed_calls(pool: PeerPool, span_s: float) -> list[int]:
+    """Sends a call every 50 ms and returns the numbers of those that fail."""
+    calls = []
+    for number in range(round(span_s / CALL_INTERVAL_S)):
+        call = pool.call("b", _call(f"r{number}", 0.0), 2.0)
+        calls.append(asyncio.create_task(call))
+        await asyncio.sleep(CALL_INTERVAL_S)
+    replies = await asyncio.gather(*calls)
+    return [n for n, r in enumerate(replies) if isinstance(r, api.LinkFailure)]
+
+
+def test_peer_is_reachable_as_soon_as_its_late_hello_arrives() -> None:
+    """Guards against a pause and a new connection after a late Hello."""
+
+    async def check(pool: PeerPool, handler: _Handler, proxy: _Proxy) -> None:
+        proxy.busy_until_s = asyncio.get_running_loop().time() + 0.625
+        failed = await _failed_calls(pool, 1.0)
+        assert [n for n in failed if n * CALL_INTERVAL_S > 0.625] == []
+        assert proxy.connections == 1
+
+    virtual_time.run(_with_pool(check))
+
+
+def test_call_waits_for_a_hello_no_shorter_than_earlier_calls() -> None:
+    """Guards against calls that fail with the wait of an earlier one."""
+
+    async def check(pool: PeerPool, handler: _Handler, proxy: _Proxy) -> None:
+        proxy.busy_until_s = asyncio.get_running_loop().time() + 0.625
+        failed = await _failed_calls(pool, HELLO_WAIT_S - CALL_INTERVAL_S)
+        waits_s = [0.625 - n * CALL_INTERVAL_S for n in failed]
+        assert [w for w in waits_s if w < HELLO_WAIT_S] == []
+
+    virtual_time.run(_with_pool(check))
+
+
+def test_peer_whose_hello_is_always_late_is_reachable() -> None:
+    """Guards against a congested path over which no connection opens."""
+
+    async def check(pool: PeerPool, handler: _Handler, proxy: _Proxy) -> None:
+        proxy.delay_s = 0.3
+        failed = await _failed_calls(pool, 3.0)
+        assert [n for n in failed if n * CALL_INTERVAL_S > 0.65] == []
+
+    virtual_time.run(_with_pool(check))
+
+
+def test_call_to_a_peer_without_a_hello_fails_in_time() -> None:
+    """Guards against calls that wait for a peer which does not respond."""
+
+    async def check(pool: PeerPool, handler: _Handler, proxy: _Proxy) -> None:
+        loop = asyncio.get_running_loop()
+        proxy.busy_until_s = loop.time() + 100.0
+        for number in range(100):
+            start_s = loop.time()
+            reply = await pool.call("b", _call(f"r{number}", 0.0), 2.0)
+            assert isinstance(reply, api.LinkFailure)
+            assert loop.time() - start_s < HELLO_WAIT_S + 0.01
+            await asyncio.sleep(CALL_INTERVAL_S)
+
+    virtual_time.run(_with_pool(check))
+
+
+def test_fence_waits_for_a_late_hello() -> None:
+    """Guards against an unknown outcome while the peer is about to respond."""
+
+    async def check(pool: PeerPool, handler: _Handler, proxy: _Proxy) -> None:
+        proxy.busy_until_s = asyncio.get_running_loop().time() + 0.9
+        fence = await pool.fence("b", "r1", 7, 2.0)
+        assert isinstance(fence, messages.CallFenceReply)
+
+    virtual_time.run(_with_pool(check))
--- a/magnoliafork/wire/pool.py
+++ b/magnoliafork/wire/pool.py
@@ -4,12 +4,19 @@
 import dataclasses
 import itertools
 import random
+from typing import Any
 
 from magnoliafork.wire import api, messages
 from magnoliafork.wire.connector import Connector
 from magnoliafork.wire.link import Link
 
 CONNECT_TIMEOUT_S = 0.5
+# Time that a call waits for the Hello of a peer; it may be free to ask another.
+HELLO_WAIT_S = 0.5
+# Time after which an attempt without a Hello is given up. A busy process
+# accepts a connection before it answers. Lost packets are sent again after
+# about 0.2, 0.6 and 1.4 s; later, a new connection is faster.
+HELLO_TIMEOUT_S = 1.5
 SILENCE_PROBE_S = 0.3
 # Time without a reply to a heartbeat after which the path is checked by a new
 # connection. A reply to the heartbeat may only be late: on a congested link or
@@ -40,6 +47,19 @@
     unsent_bytes: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class _ConnectionAttempt:
+    """A connection that is being opened.
+
+    Attributes:
+        task: Ends with the connection, or None if it cannot be opened.
+        accepted: Gets the time at which the peer's machine has accepted it.
+    """
+
+    task: asyncio.Task[_CallLink | None]
+    accepted: asyncio.Future[float]
+
+
 class _PathProbe:
     """Owns a connection that only shows whether a peer still responds."""
 
@@ -75,7 +95,7 @@
         self._rng = rng
         self._links: dict[str, _CallLink] = {}
         self._by_link: dict[Link, tuple[str, _CallLink]] = {}
-        self._connecting: dict[str, asyncio.Task[_CallLink | None]] = {}
+        self._connecting: dict[str, _ConnectionAttempt] = {}
         self._blocked_until_s: dict[str, float] = {}
         self._stream_ids = itertools.count(1)
         self._is_closed = False
@@ -93,7 +113,7 @@
         deadline_s = loop.time() + timeout_s
         entry = self._links.get(instance_id)
         if entry is None:
-            entry = await self._connect(instance_id, timeout_s)
+            entry = await self._connect_for_call(instance_id, timeout_s)
         if entry is None:
             return api.LinkFailure(False, 0, "cannot connect")
         remaining_s = deadline_s - loop.time()
@@ -142,8 +162,8 @@
     async def close(self) -> None:
         """Closes all connections; outstanding calls fail with `was_sent`."""
         self._is_closed = True
-        for task in list(self._connecting.values()):
-            task.cancel()
+        for attempt in list(self._connecting.values()):
+            attempt.task.cancel()
         for entry in list(self._links.values()):
             entry.link.close("pool closed")
 
@@ -247,24 +267,69 @@
     async def _connect(
         self, instance_id: str, timeout_s: float
     ) -> _CallLink | None:
+        """Waits until an attempt to connect has ended."""
+        attempt = self._join_attempt(instance_id)
+        if attempt is None:
+            return None
+        return await self._result(attempt, timeout_s)
+
+    async def _connect_for_call(
+        self, instance_id: str, timeout_s: float
+    ) -> _CallLink | None:
+        """Waits for a connection while the peer may be about to respond.
+
+        The attempt goes on if its Hello is late. Calls fail at once meanwhile.
+        """
+        attempt = self._join_attempt(instance_id)
+        if attempt is None:
+            return None
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        either: set[asyncio.Future[Any]] = {attempt.task, attempt.accepted}
+        await asyncio.wait(
+            either,
+            timeout=max(0.0, timeout_s),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        now_s = loop.time()
+        wait_s = min(deadline_s - now_s, HELLO_WAIT_S)
+        if attempt.accepted.done() and (
+            now_s - attempt.accepted.result() >= HELLO_WAIT_S
+        ):
+            wait_s = 0.0
+        return await self._result(attempt, wait_s)
+
+    def _join_attempt(self, instance_id: str) -> _ConnectionAttempt | None:
+        """Returns the attempt to connect to a peer; begins one if needed."""
         loop = asyncio.get_running_loop()
         if self._is_closed:
             return None
         if loop.time() < self._blocked_until_s.get(instance_id, 0.0):
             return None
-        task = self._connecting.get(instance_id)
-        if task is None:
-            task = loop.create_task(self._open(instance_id))
-            self._connecting[instance_id] = task
+        attempt = self._connecting.get(instance_id)
+        if attempt is None:
+            accepted: asyncio.Future[float] = loop.create_future()
+            task = loop.create_task(self._open(instance_id, accepted))
+            attempt = _ConnectionAttempt(task, accepted)
+            self._connecting[instance_id] = attempt
             task.add_done_callback(
                 lambda _: self._connecting.pop(instance_id, None)
             )
+        return attempt
+
+    @staticmethod
+    async def _result(
+        attempt: _ConnectionAttempt, timeout_s: float
+    ) -> _CallLink | None:
+        task = attempt.task
         done, _ = await asyncio.wait({task}, timeout=max(0.0, timeout_s))
         if not done or task.cancelled():
             return None
         return task.result()
 
-    async def _open(self, instance_id: str) -> _CallLink | None:
+    async def _open(
+        self, instance_id: str, accepted: asyncio.Future[float]
+    ) -> _CallLink | None:
         loop = asyncio.get_running_loop()
         link = self._connector.create_link(self)
         entry = _CallLink(link, 0, loop.create_future())
@@ -273,7 +338,8 @@
             link, instance_id, messages.LinkPurpose.CALLS, CONNECT_TIMEOUT_S
         )
         if is_connected:
-            timer = loop.call_later(CONNECT_TIMEOUT_S, link.close, "no Hello")
+            accepted.set_result(loop.time())
+            timer = loop.call_later(HELLO_TIMEOUT_S, link.close, "no Hello")
             is_connected = await entry.ready
             timer.cancel()
         if not is_connected or not link.is_open:
