Show a busy loop that delays a planned stop in a test that fails

A node counts the phases of a planned stop from the loop's turn in which it handles SIGTERM. The platform counts the grace period from the signal. If the loop is late, so is each phase: callers are accepted for longer than half of the grace period less the margin, and pending requests get their outcome later, at a lateness over 0.35 s after the process was killed.

Test: test_phases_of_a_stop_are_counted_from_the_signal fails.

--- a/magnoliafork/tests/platform/test_daemon.py
+++ b/magnoliafork/tests/platform/test_daemon.py
@@ -5,8 +5,11 @@
 import pathlib
 import signal
 import sys
+import time
 
-from magnoliafork.platform.daemon import EXIT_OK, SETTINGS_VARIABLE
+from magnoliafork.mesh.settings import load
+from magnoliafork.model.result import Err
+from magnoliafork.platform.daemon import EXIT_OK, SETTINGS_VARIABLE, run
 
 HOST = "127.0.7.9"
 SETTINGS = f"""
@@ -22,6 +25,7 @@
 """
 ROOT = pathlib.Path(__file__).parents[3]
 TIMEOUT_S = 30.0
+READY_PORT = 18302
 
 
 def ignores_sighup(process_id: int) -> bool:
@@ -66,3 +70,33 @@
                 await process.wait()
 
     asyncio.run(test())
+
+
+def test_phases_of_a_stop_are_counted_from_the_signal(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a busy loop that delays the whole planned stop."""
+    loaded = load(SETTINGS.replace("1.0", "2.0"))
+    assert not isinstance(loaded, Err)
+    busy_s = 0.9
+
+    async def test() -> None:
+        daemon = asyncio.create_task(run(loaded.value, tmp_path))
+        async with asyncio.timeout(TIMEOUT_S):
+            while True:
+                try:
+                    _, writer = await asyncio.open_connection(HOST, READY_PORT)
+                except OSError:
+                    await asyncio.sleep(0.01)
+                    continue
+                writer.close()
+                break
+            sent_s = time.monotonic()
+            os.kill(os.getpid(), signal.SIGTERM)
+            while time.monotonic() < sent_s + busy_s:
+                pass
+            assert await daemon == EXIT_OK
+        # An idle node ends after half of the grace period, which is 1 s here.
+        assert time.monotonic() - sent_s < 1.0 + busy_s / 2
+
+    asyncio.run(test())
