Count the grace period from the signal, not from the loop's next turn

With a loop that is late by more than 0.35 s when SIGTERM arrives, pending requests would lose their connection instead of getting 502 or 504, because the node's 5.65 s end after the platform's 6 s; with one that is late by more than 0.25 s, requests would be accepted after half of the grace period.

Cause: SIGTERM was handled by the loop, behind everything that was ready in it, and the phases of the stop began when `stop` ran.

Change: the signal's own handler notes the time and wakes the loop; the phases are counted from there. The handlers of before are restored at the end.

Ruled out: a longer margin at the end of the stop. It would shorten the time for pending requests of all stops, and it would not mend the accept time.

Test: test_phases_of_a_stop_are_counted_from_the_signal. With a loop that is busy for 0.9 s and a grace period of 2 s, an idle node ended 1.98 s after the signal; it has to end within 1.45 s and does.

--- a/magnoliafork/mesh/node.py
+++ b/magnoliafork/mesh/node.py
@@ -185,7 +185,9 @@
         )
         self._clock = clock
         self._tasks: list[asyncio.Task[None]] = []
+        self._loop = loop
         self.stop_requested = asyncio.Event()
+        self._stop_requested_s: float | None = None
         self.longest_tick_delay_s = 0.0
         self.shutdown_plan: ShutdownPlan | None = None
         self._is_closing = False
@@ -248,6 +250,15 @@
         self.metrics.tick(now_s)
         self.log.flush()
 
+    def request_stop(self) -> None:
+        """Requests a graceful shutdown; may be called by a signal handler.
+
+        The grace period begins with the first request.
+        """
+        if self._stop_requested_s is None:
+            self._stop_requested_s = self._clock()
+        self._loop.call_soon_threadsafe(self.stop_requested.set)
+
     async def stop(self) -> None:
         """Performs a graceful shutdown within the grace period.
 
@@ -255,7 +266,10 @@
         until the platform has seen that the node is not ready. Requests that
         run at the upstream and requests of callers are finished.
         """
-        plan = ShutdownPlan(self._clock(), self._settings.bounds.grace_period_s)
+        begun_s = self._stop_requested_s
+        if begun_s is None:
+            begun_s = self._clock()
+        plan = ShutdownPlan(begun_s, self._settings.bounds.grace_period_s)
         self.shutdown_plan = plan
         self.ingress.is_stopping = True
         self.sender.end_requests_by(plan.end_s)
--- a/magnoliafork/platform/daemon.py
+++ b/magnoliafork/platform/daemon.py
@@ -1,11 +1,13 @@
 """The daemon on the users' platform: one mesh node beside one upstream."""
 
 import asyncio
+import contextlib
 import os
 import pathlib
 import random
 import signal
 import sys
+from collections.abc import Iterator
 
 from magnoliafork.mesh.node import MeshNode
 from magnoliafork.mesh.settings import MeshSettings, load
@@ -58,21 +60,39 @@
     # Set before the first request can arrive, because the default action of
     # these signals ends the process.
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, node.stop_requested.set)
     loop.add_signal_handler(signal.SIGHUP, reload, path, log)
-    try:
-        await node.start()
-    except OSError as error:
-        print(f"cannot listen: {error}", file=sys.stderr)
+    with _stop_signals(node):
+        try:
+            await node.start()
+        except OSError as error:
+            print(f"cannot listen: {error}", file=sys.stderr)
+            await store.close()
+            return EXIT_FAILED
+        await node.stop_requested.wait()
+        await node.stop()
         await store.close()
-        return EXIT_FAILED
-    await node.stop_requested.wait()
-    await node.stop()
-    await store.close()
     return EXIT_OK
 
 
+@contextlib.contextmanager
+def _stop_signals(node: MeshNode) -> Iterator[None]:
+    """Handles the signals that request a stop.
+
+    They are not handled by the loop, which may be busy: the grace period begins
+    with the signal.
+    """
+    numbers = (signal.SIGTERM, signal.SIGINT)
+    before = {
+        number: signal.signal(number, lambda *_: node.request_stop())
+        for number in numbers
+    }
+    try:
+        yield
+    finally:
+        for number, handler in before.items():
+            signal.signal(number, handler)
+
+
 def reload(path: pathlib.Path, log: EventLog) -> None:
     """Reads the settings again and applies what can change at run time."""
     try:
