Tell senders which calls a stopping node has not accepted

What callers saw: 502 from nodes that did not stop, for requests that must not be repeated and that no upstream had got.

Cause: the calls were on their way when the stopping node closed its connections (`node_stopped` 5.45 s after SIGTERM). The sender saw a connection that had ended after the call was sent, had to take its outcome as unknown, and could ask only the next process, which cannot know what the one before has run.

Ruled out: work that was cut (no upstream had seen the three requests) and a late refusal (a stopping node refuses calls from 1 s after SIGTERM on; these had not been read).

Change: a node that closes its peer listener sends `GoAway` with the last stream that it has accepted, ignores later ones, and waits up to 0.15 s for senders to close. A sender takes later calls as not run and sends them elsewhere; it closes the connection once the accepted ones are answered. A sender of the release before closes the connection at an unknown message, as it did at its end.

Both products use this server. Calls that are accepted in the last 0.15 s of a stop now get their answers too; they were cut.

Tests: test_call_that_arrives_after_the_peer_has_stopped_did_not_run and test_call_accepted_before_the_peer_stops_gets_its_answer fail before and pass after.

--- a/magnoliafork/tests/wire/test_pool.py
+++ b/magnoliafork/tests/wire/test_pool.py
@@ -25,11 +25,13 @@
     """Answers calls after a delay chosen by the request's path."""
 
     def __init__(self) -> None:
+        self.called: list[str] = []
         self.cancelled: list[str] = []
 
     async def on_call(
         self, sender_id: str, request: messages.CallRequest
     ) -> messages.CallReply:
+        self.called.append(request.request_id)
         try:
             await asyncio.sleep(float(request.path))
         except asyncio.CancelledError:
@@ -54,7 +56,8 @@
 class _Proxy:
     """Forwards bytes to a server; can drop those of its first connection."""
 
-    def __init__(self, port: int) -> None:
+    def __init__(self, server: PeerServer, port: int) -> None:
+        self.server = server
         self.port = port
         self.is_silent = False
         self.delay_s = 0.0
@@ -83,6 +86,8 @@
             await asyncio.sleep(self.delay_s)
             if not (self.is_silent and is_first):
                 writer.write(data)
+        await asyncio.sleep(self.delay_s)
+        writer.close()
 
 
 def _identity(name: str) -> NodeIdentity:
@@ -99,7 +104,7 @@
         Connector(_identity("b"), addresses, traffic, None), random.Random(1)
     )
     server = PeerServer(_identity("b"), handler, control, traffic, None)
-    proxy = _Proxy(await server.start("127.0.0.1", 0))
+    proxy = _Proxy(server, await server.start("127.0.0.1", 0))
     proxy_server = await asyncio.start_server(proxy.serve, "127.0.0.1", 0)
     addresses["b"] = ("127.0.0.1", proxy_server.sockets[0].getsockname()[1])
     pool = PeerPool(
@@ -217,3 +222,49 @@
         assert reply == api.LinkFailure(False, 0, "cannot connect")
 
     virtual_time.run(_with_pool(check))
+
+
+def test_call_that_arrives_after_the_peer_has_stopped_did_not_run() -> None:
+    """Guards against an unknown outcome of a call that was never accepted."""
+
+    async def check(pool: PeerPool, handler: _Handler, proxy: _Proxy) -> None:
+        await pool.call("b", _call("r0", 0.0), 2.0)
+        proxy.delay_s = 0.05
+        stop = asyncio.create_task(proxy.server.stop())
+        await asyncio.sleep(0.02)
+        reply = await pool.call("b", _call("r1", 0.0), 2.0)
+        await stop
+        assert isinstance(reply, api.LinkFailure)
+        assert not reply.was_sent
+        assert handler.called == ["r0"]
+
+    virtual_time.run(_with_pool(check))
+
+
+def test_call_accepted_before_the_peer_stops_gets_its_answer() -> None:
+    """Guards against a stop that cuts calls that are almost answered."""
+
+    async def check(pool: PeerPool, handler: _Handler, proxy: _Proxy) -> None:
+        await pool.call("b", _call("r0", 0.0), 2.0)
+        accepted = asyncio.create_task(pool.call("b", _call("r1", 0.1), 2.0))
+        await asyncio.sleep(0.05)
+        await proxy.server.stop()
+        reply = await accepted
+        assert isinstance(reply, messages.CallAnswer)
+        assert reply.body == b"r1"
+
+    virtual_time.run(_with_pool(check))
+
+
+def test_call_that_a_stopped_peer_had_accepted_may_have_run() -> None:
+    """Guards against a false refusal of a call that runs at its end."""
+
+    async def check(pool: PeerPool, handler: _Handler, proxy: _Proxy) -> None:
+        accepted = asyncio.create_task(pool.call("b", _call("r1", 1.0), 2.0))
+        await asyncio.sleep(0.05)
+        await proxy.server.stop()
+        reply = await accepted
+        assert isinstance(reply, api.LinkFailure)
+        assert reply.was_sent
+
+    virtual_time.run(_with_pool(check))
--- a/magnoliafork/wire/api.py
+++ b/magnoliafork/wire/api.py
@@ -11,8 +11,8 @@
     """Failure of a call that got no reply.
 
     Attributes:
-        was_sent: False when no byte of the request reached a socket, so that
-            the receiver cannot have run it.
+        was_sent: False when the receiver has not run the request: no byte of
+            it reached a socket, or the receiver stopped before it arrived.
         incarnation: Incarnation of the receiver at the other end of the
             connection, or 0 when there was no connection.
         detail: Cause of the failure, for logs.
--- a/magnoliafork/wire/codec.py
+++ b/magnoliafork/wire/codec.py
@@ -51,6 +51,7 @@
     messages.ViewAnnounce,
     messages.ViewRequest,
     messages.ViewReply,
+    messages.GoAway,
 )
 _KIND_BY_TYPE = {
     message_type: number for number, message_type in enumerate(_MESSAGE_TYPES)
--- a/magnoliafork/wire/link.py
+++ b/magnoliafork/wire/link.py
@@ -93,6 +93,7 @@
         messages.CallCancel,
         messages.CallFence,
         messages.CallFenceReply,
+        messages.GoAway,
     }
 )
 
--- a/magnoliafork/wire/messages.py
+++ b/magnoliafork/wire/messages.py
@@ -301,6 +301,18 @@
     patched_revisions: tuple[int, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class GoAway:
+    """The receiver of calls stops and accepts no more on this connection.
+
+    Attributes:
+        last_stream_id: Largest stream id that it has accepted, or 0. Calls and
+            fences with larger ids have not been and will not be handled.
+    """
+
+    last_stream_id: int
+
+
 CallReply = CallAnswer | CallRefused | CallUnknown
 StreamReply = CallReply | CallFenceReply
 ControlMessage = (
@@ -317,4 +329,4 @@
     | ViewReply
 )
 StreamMessage = CallRequest | CallCancel | CallFence
-Message = Hello | ControlMessage | StreamMessage | StreamReply
+Message = Hello | ControlMessage | StreamMessage | StreamReply | GoAway
--- a/magnoliafork/wire/peer.thrift
+++ b/magnoliafork/wire/peer.thrift
@@ -169,3 +169,7 @@
     5: list<binary> values
     6: list<i64> patched_revisions
 }
+
+struct GoAway {
+    1: i64 last_stream_id
+}
--- a/magnoliafork/wire/pool.py
+++ b/magnoliafork/wire/pool.py
@@ -38,6 +38,7 @@
     silence_timer: asyncio.TimerHandle | None = None
     path_check: asyncio.Task[None] | None = None
     unsent_bytes: int = 0
+    is_going_away: bool = False
 
 
 class _PathProbe:
@@ -144,8 +145,8 @@
         self._is_closed = True
         for task in list(self._connecting.values()):
             task.cancel()
-        for entry in list(self._links.values()):
-            entry.link.close("pool closed")
+        for link in list(self._by_link):
+            link.close("pool closed")
 
     def on_hello(self, link: Link, hello: messages.Hello) -> None:
         """Marks a connection as ready once the peer's Hello is in."""
@@ -166,6 +167,9 @@
         registered = self._by_link.get(link)
         if registered is None or isinstance(message, messages.Heartbeat):
             return
+        if isinstance(message, messages.GoAway):
+            self._on_go_away(*registered, message.last_stream_id)
+            return
         if not isinstance(
             message,
             (
@@ -183,6 +187,24 @@
             return
         future.set_result(message)
 
+    def _on_go_away(
+        self, instance_id: str, entry: _CallLink, last_stream_id: int
+    ) -> None:
+        """Fails the calls that a stopping peer has not accepted."""
+        entry.is_going_away = True
+        if self._links.get(instance_id) is entry:
+            del self._links[instance_id]
+        failure = api.LinkFailure(False, entry.incarnation, "peer stopped")
+        for stream_id, future in entry.streams.items():
+            if stream_id > last_stream_id and not future.done():
+                future.set_result(failure)
+        self._close_if_unused(entry)
+
+    def _close_if_unused(self, entry: _CallLink) -> None:
+        is_used = any(not future.done() for future in entry.streams.values())
+        if entry.is_going_away and not is_used:
+            entry.link.close("peer stopped")
+
     def on_closed(self, link: Link) -> None:
         """Fails all calls on a connection that has ended."""
         registered = self._by_link.pop(link, None)
@@ -212,6 +234,8 @@
         loop = asyncio.get_running_loop()
         if timeout_s <= 0:
             return api.LinkFailure(False, entry.incarnation, "deadline passed")
+        if entry.is_going_away:
+            return api.LinkFailure(False, entry.incarnation, "peer stopped")
         if len(entry.streams) >= MAX_OUTSTANDING_PER_LINK:
             return api.LinkFailure(
                 False, entry.incarnation, "too many outstanding calls"
@@ -234,6 +258,7 @@
         finally:
             timer.cancel()
             entry.streams.pop(stream_id, None)
+            self._close_if_unused(entry)
 
     def _expire(
         self, entry: _CallLink, stream_id: int, future: StreamFuture
--- a/magnoliafork/wire/server.py
+++ b/magnoliafork/wire/server.py
@@ -31,6 +31,7 @@
     tasks: dict[int, asyncio.Task[None]] = dataclasses.field(
         default_factory=dict
     )
+    last_stream_id: int = 0
     hello_timer: asyncio.TimerHandle | None = None
 
 
@@ -60,6 +61,7 @@
         self._inbound: dict[Link, _InboundLink] = {}
         self._call_links: dict[str, Link] = {}
         self._server: asyncio.Server | None = None
+        self._is_stopping = False
 
     async def start(self, host: str, port: int) -> int:
         """Listens and returns the port in use; port 0 picks a free one."""
@@ -73,18 +75,31 @@
     async def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> None:
         """Stops listening and closes all accepted connections.
 
+        Senders are told which calls were accepted, and close their connections.
+        A call that is on its way would otherwise have an unknown outcome.
+
         Args:
-            timeout_s: How long to wait until written replies have left.
+            timeout_s: How long to wait until senders have closed their
+                connections and written replies have left.
         """
         if self._server is not None:
             self._server.close()
+        self._is_stopping = True
         links = list(self._inbound)
+        call_links = set(self._call_links.values())
         for link in links:
-            link.close_after_flush("server stopped")
+            if link in call_links:
+                link.send(messages.GoAway(self._inbound[link].last_stream_id))
+            else:
+                link.close_after_flush("server stopped")
         loop = asyncio.get_running_loop()
         end_s = loop.time() + timeout_s
-        while loop.time() < end_s and any(link.unsent_bytes for link in links):
+        while loop.time() < end_s and any(
+            link.is_open or link.unsent_bytes for link in links
+        ):
             await asyncio.sleep(STOP_POLL_S)
+        for link in links:
+            link.close_after_flush("server stopped")
 
     def on_hello(self, link: Link, hello: messages.Hello) -> None:
         """Answers a peer's Hello and hands control connections over."""
@@ -186,11 +201,12 @@
         serve: ServeStream,
     ) -> None:
         entry = self._inbound.get(link)
-        if entry is None:
+        if entry is None or self._is_stopping:
             return
         if stream_id in entry.tasks:
             link.close(f"stream {stream_id} used twice")
             return
+        entry.last_stream_id = max(entry.last_stream_id, stream_id)
         loop = asyncio.get_running_loop()
         task = loop.create_task(self._serve(link, stream_id, serve))
         entry.tasks[stream_id] = task
