Do not count a timeout of the route as a loss in the soak

The routes of this soak time out after 2 s; the logs of the node show `upstream_timeout` with 66 ms past the deadline. The check knew only the deadline of the caller, 8 s.

Change: 504 is no loss once the timeout of the route has passed. Before it, and with any other status or without an answer, it still is.

Test: test_answer_504_is_a_loss_only_before_the_timeout_of_the_route.

--- a/magnoliafork/tests/soak/losses.py
+++ b/magnoliafork/tests/soak/losses.py
@@ -19,6 +19,7 @@
 # Planned work lasts so long after the grace period.
 AFTER_GRACE_S = 1.0
 MAX_CUT_REQUESTS = 3
+TIMEOUT_STATUS = 504
 
 
 @dataclasses.dataclass
@@ -40,8 +41,16 @@
     requests: Sequence[KeptRequest],
     machines: Sequence[Machine],
     spans: Sequence[FaultSpan],
+    timeout_s: float,
 ) -> list[str]:
-    """Returns the requests that were lost, in words."""
+    """Returns the requests that were lost, in words.
+
+    Args:
+        requests: Requests on kept connections.
+        machines: All machines.
+        spans: All faults.
+        timeout_s: Timeout of the routes.
+    """
     losses: list[str] = []
     passed_on: collections.Counter[str] = collections.Counter()
     hosts = {machine.host: machine for machine in machines}
@@ -52,7 +61,7 @@
             if request.attempt_id in machine.server.work_spans_s
         ]
         stops_s = hosts[request.host].stops_s
-        if not _is_lost(request, work, stops_s):
+        if not _is_lost(request, work, stops_s, timeout_s):
             continue
         touching = [span for span in spans if span.touches(request)]
         if all(span.is_planned for span in touching):
@@ -71,6 +80,7 @@
     request: KeptRequest,
     work: Sequence[tuple[float, float]],
     stops_s: Sequence[float],
+    timeout_s: float,
 ) -> bool:
     sent_s = request.sent_s
     if sent_s is not None and request.ended_s > sent_s + DEADLINE_S:
@@ -83,7 +93,7 @@
         if is_late and sent_s and sent_s < stop_s + EXCUSED_SENT_S:
             return False
     if request.status:
-        return _is_broken_off(request, work, stops_s)
+        return _is_broken_off(request, work, stops_s, timeout_s)
     has_waited = sent_s is not None and request.ended_s > sent_s + LOSS_SLACK_S
     return bool(work) or has_waited
 
@@ -92,8 +102,13 @@
     request: KeptRequest,
     work: Sequence[tuple[float, float]],
     stops_s: Sequence[float],
+    timeout_s: float,
 ) -> bool:
     """Whether a stopping node answered in place of a server at work."""
+    sent_s = request.sent_s
+    is_timed_out = sent_s is not None and request.ended_s > sent_s + timeout_s
+    if request.status == TIMEOUT_STATUS and is_timed_out:
+        return False
     if request.is_sealed or not any(
         stop_s < request.ended_s < stop_s + GRACE_PERIOD_S + AFTER_GRACE_S
         for stop_s in stops_s
--- a/magnoliafork/tests/soak/run.py
+++ b/magnoliafork/tests/soak/run.py
@@ -265,7 +265,10 @@
             if request.problem:
                 self._add_violation(f"{request.attempt_id} {request.problem}")
         self.findings.violations += find_losses(
-            self._kept_requests, self._fleet.machines, self._spans
+            self._kept_requests,
+            self._fleet.machines,
+            self._spans,
+            self.timeout_ms / 1000,
         )
         self.findings.violations += self._fleet.bad_ends
         self.findings.late_ends = self._fleet.late_ends
--- a/magnoliafork/tests/soak/test_losses.py
+++ b/magnoliafork/tests/soak/test_losses.py
@@ -11,6 +11,7 @@
 from magnoliafork.tests.soak.proxy import LinkProxy
 
 STOP_S = 100.0
+TIMEOUT_S = 8.0
 
 
 def losses(
@@ -20,6 +21,7 @@
     status: int = 0,
     spans: tuple[FaultSpan, ...] = (),
     count: int = 1,
+    timeout_s: float = TIMEOUT_S,
 ) -> int:
     """Returns the number of losses found; times are from SIGTERM."""
 
@@ -40,7 +42,7 @@
         request.sent_s = STOP_S + sent_s
         request.ended_s = STOP_S + ended_s
         requests.append(request)
-    return len(find_losses(requests, [machine], spans))
+    return len(find_losses(requests, [machine], spans, timeout_s))
 
 
 @pytest.mark.parametrize(
@@ -82,6 +84,15 @@
     assert losses(1.0, 2.0, (1.0, 1.5), status=502) == 0
 
 
+def test_answer_504_is_a_loss_only_before_the_timeout_of_the_route() -> None:
+    """The check reported requests whose route had timed out during a stop."""
+    work_s = (-0.5, 3.2)
+    assert losses(-0.5, 1.6, work_s, status=504, timeout_s=2.0) == 0
+    assert losses(-0.5, 1.4, work_s, status=504, timeout_s=2.0) == 1
+    assert losses(-0.5, 1.6, work_s, status=502, timeout_s=2.0) == 1
+    assert losses(-0.5, 1.6, work_s, status=0, timeout_s=2.0) == 1
+
+
 def test_other_fault_excuses_up_to_three_cut_requests() -> None:
     other = FaultSpan("other", STOP_S, STOP_S + 1.0)
     own = FaultSpan("h", STOP_S, STOP_S + 1.0)
