Refuse queued requests at once when a node stops

What callers see: a request that waits in the queue of a stopping node keeps waiting until a slot of the upstream is free, although it is refused then. If no slot becomes free before the node closes, the outcome of a request that must not be repeated is unknown, though it has never run.

Cause: the queue was looked at only if the upstream had a free slot and the cold rate allowed a request.

Change: each dispatch of a stopping node refuses all that waits.

Test: test_shutdown_refuses_queued_requests_before_a_slot_is_free, no reply within 0.1 s before, refused as `leaving` after; running requests are answered.

--- a/magnoliafork/mesh/receiver.py
+++ b/magnoliafork/mesh/receiver.py
@@ -494,6 +494,8 @@
             )
             if not timed_out.item.decision.done():
                 timed_out.item.decision.set_result(refusal)
+        if self.is_stopping:
+            self._refuse_queued()
         while len(self._queue) and self.active < self.limit:
             waiting = self._take_next(now_s)
             if waiting is None:
@@ -515,6 +517,18 @@
             self._active[id(request)] = (now_s, waiting.work_s)
             waiting.item.decision.set_result(None)
 
+    def _refuse_queued(self) -> None:
+        """Refuses the queued requests, which will not be sent any more."""
+        while (waiting := self._queue.pop()) is not None:
+            if waiting.item.decision.done():
+                continue
+            refusal = self._refuse(
+                waiting.item.request,
+                NotRunReason.LEAVING,
+                UNAVAILABLE_RETRY_MS,
+            )
+            waiting.item.decision.set_result(refusal)
+
     def _take_next(self, now_s: float) -> WaitingCall[_QueuedRequest] | None:
         """Takes the next request that the cold limit allows.
 
--- a/magnoliafork/tests/mesh/test_receiver.py
+++ b/magnoliafork/tests/mesh/test_receiver.py
@@ -403,6 +403,29 @@
     run(test)
 
 
+def test_shutdown_refuses_queued_requests_before_a_slot_is_free() -> None:
+    """Queued requests waited for a slot of an upstream that takes no more."""
+
+    async def test() -> None:
+        harness = await ReceiverHarness(FakeUpstream(work_s=3.0)).announced()
+        changes = {"remaining_ms": 8000, "target_latency_ms": 8000}
+        running = [harness.call(f"r{n}", **changes) for n in range(4)]
+        await asyncio.sleep(0.01)
+        queued = harness.call("queued", repeatable=False, **changes)
+        await asyncio.sleep(0.01)
+        assert harness.receiver.queued == 1
+        harness.receiver.is_stopping = True
+        harness.receiver.tick()
+        async with asyncio.timeout(0.1):
+            refused = await queued
+        assert isinstance(refused, messages.CallRefused)
+        assert refused.reason == "leaving"
+        for call in running:
+            assert isinstance(await call, messages.CallAnswer)
+
+    run(test)
+
+
 def test_node_without_a_configuration_refuses() -> None:
     async def test() -> None:
         loop = asyncio.get_running_loop()
