Recognise an outage by the reader whose reads failed, and tell the others at once

Gaps between known answers are no measure of an outage: the announced ages leave out the transfer and get newer with every exchange, so slow links hid real outages, and the time until others take over reading looked like one. An expired entry was dropped 0.3 s before it was due back. A reader that asked without a wait after a failure timed out after 0.8 s and got nothing at all from a store with answers of 0.9 to 1.4 s.

Now only a reader whose own reads failed decides: it was an outage if no neighbour had an answer of the store for 2.8 s from then on. It tells its neighbours the end at once; of reports about one outage the earliest end counts. A reader that began to read in the outage counts from the last answer it knows of. What a node sees removed while only its own reads fail is removed. A read without a wait may take 1.5 s, as a full read.

The bound by the drain timeout stays for deployments with less than 2 s; at 2 s and more the 2.3 s after the outage are shorter or equal.

--- a/magnoliafork/mesh/store_reader.py
+++ b/magnoliafork/mesh/store_reader.py
@@ -24,6 +24,13 @@
 # Backoff after failures, doubled up to the maximum.
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
+# A time without an answer to any node is an outage from this length on. Entries
+# expire after three missing writes, which takes longer; answers to one reader
+# are up to 2.2 s apart.
+MIN_OUTAGE_S = 2.8
+# Time within which the last answer to a peer before an outage may seem to lie,
+# since its announced age leaves out the transfer.
+OUTAGE_START_S = 0.4
 # How often a node that does not read the store checks whether it has to.
 READER_CHECK_INTERVAL_S = 0.1
 
@@ -55,6 +62,7 @@
         self._log = log
         self._backoff_s = MIN_BACKOFF_S
         self._is_store_unavailable = False
+        self._failing_since_s = 0.0
         self._needs_full_read = False
 
     async def run(self) -> None:
@@ -92,19 +100,26 @@
         await asyncio.sleep(BATCH_DELAY_S)
 
     def _on_success(self) -> None:
-        if self._is_store_unavailable:
-            self._is_store_unavailable = False
-            self._log.info(
-                Event.STORE_AVAILABLE, view_revision=self._view.revision
-            )
-        self._backoff_s = MIN_BACKOFF_S
         now_s = self._clock()
+        self._backoff_s = MIN_BACKOFF_S
         self._view_sync.last_store_answer_s = now_s
-        self._table.record_store_answer(now_s)
+        if not self._is_store_unavailable:
+            return
+        self._is_store_unavailable = False
+        answered_at_s = self._view_sync.peer_answered_at_s or now_s
+        # It is no outage if the store answered others all the time.
+        if answered_at_s - self._failing_since_s >= MIN_OUTAGE_S:
+            self._table.record_outage_end(now_s - answered_at_s)
+            self._view_sync.announce()
+        self._log.info(Event.STORE_AVAILABLE, view_revision=self._view.revision)
 
     async def _on_failure(self, detail: str) -> None:
         if not self._is_store_unavailable:
             self._is_store_unavailable = True
+            self._failing_since_s = self._view_sync.last_fresh_s()
+            self._view_sync.note_answers_after(
+                self._failing_since_s + OUTAGE_START_S
+            )
             self._view_sync.last_store_answer_s = float("-inf")
             self._view_sync.announce()
         self._log.warning(
--- a/magnoliafork/mesh/upstream_table.py
+++ b/magnoliafork/mesh/upstream_table.py
@@ -11,18 +11,21 @@
 from magnoliafork.mesh.model import UpstreamEntry
 from magnoliafork.mesh.view import Change, MeshView
 
-# An answer of the store ends an outage if no node had one for a longer time.
-# Two answers of an available store to one reader are at most 2.2 s apart;
-# entries expire after three missing writes, which takes longer.
-MIN_OUTAGE_S = 2.5
 # Time after an outage in which the entry of a running upstream is written
 # again, with a margin for the delay until this node gets it.
 REWRITE_WINDOW_S = 2.3
 # Time after an outage in which removals may be a consequence of it; the effects
 # of the outage reach this node within that time.
 OUTAGE_EFFECT_WINDOW_S = 0.6
-# Time in which a removal reaches this node and its last requests reach the
-# upstream. An upstream that was removed may stop after its drain timeout.
+# Reports of an outage whose ends lie closer together are about the same one.
+# The earliest end counts: transfers make ends look later, and other readers get
+# their first answer later.
+SAME_OUTAGE_S = 0.5
+# Longer times since an outage are reported as this.
+MAX_OUTAGE_AGE_S = 3600.0
+# Time in which a removal in that window reaches this node and its last requests
+# reach the upstream. An upstream that was removed may stop after its drain
+# timeout.
 REMOVAL_DELAY_S = 0.3
 
 
@@ -58,24 +61,25 @@
         """
         self._view = view
         self._clock = clock
-        self._max_use_s = max(0.0, drain_timeout_s - REMOVAL_DELAY_S)
+        self._use_s = min(
+            REWRITE_WINDOW_S,
+            OUTAGE_EFFECT_WINDOW_S + drain_timeout_s - REMOVAL_DELAY_S,
+        )
         self._expired: dict[str, _ExpiredEntry] = {}
-        self._store_answered_at_s: float | None = None
-        self._outage_ended_at_s = float("-inf")
+        self._outage_ended_at_s = clock() - MAX_OUTAGE_AGE_S
         self.change_count = 0
         view.subscribe(self._on_changes)
 
-    def record_store_answer(self, at_s: float) -> None:
-        """Records when the store answered a node, this one or another.
+    def record_outage_end(self, ago_s: float) -> None:
+        """Records that the store became available again some time ago."""
+        ended_at_s = self._clock() - ago_s
+        later_s = ended_at_s - self._outage_ended_at_s
+        if later_s > SAME_OUTAGE_S or -SAME_OUTAGE_S < later_s < 0:
+            self._outage_ended_at_s = ended_at_s
 
-        A refusal of some nodes is no outage: what the others read is current.
-        """
-        last_s = self._store_answered_at_s
-        if last_s is not None and at_s <= last_s:
-            return
-        if last_s is not None and at_s - last_s > MIN_OUTAGE_S:
-            self._outage_ended_at_s = at_s
-        self._store_answered_at_s = at_s
+    def outage_ended_ago_s(self) -> float:
+        """Returns the time since the last outage ended, at most an hour."""
+        return min(self._clock() - self._outage_ended_at_s, MAX_OUTAGE_AGE_S)
 
     def of_service(self, service: str) -> tuple[UpstreamEntry, ...]:
         """Returns the upstreams of a service that may get work.
@@ -122,10 +126,7 @@
         may_have_expired = (
             now_s < self._outage_ended_at_s + OUTAGE_EFFECT_WINDOW_S
         )
-        usable_until_s = min(
-            self._outage_ended_at_s + REWRITE_WINDOW_S,
-            now_s + self._max_use_s,
-        )
+        usable_until_s = self._outage_ended_at_s + self._use_s
         for change in changes:
             before, after = change.before, change.after
             if isinstance(after, UpstreamEntry):
--- a/magnoliafork/mesh/view_sync.py
+++ b/magnoliafork/mesh/view_sync.py
@@ -41,8 +41,6 @@
 # Announced age of the last store answer if a node does not read the store or
 # its reads fail.
 NO_STORE_ACCESS_MS = 3_600_000
-# Announced time since an outage; it is read by earlier releases only.
-NO_OUTAGE_MS = 3_600_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -62,6 +60,8 @@
 
     Attributes:
         last_store_answer_s: Loop time of the last answer of the store.
+        peer_answered_at_s: Loop time of the first answer of the store to a
+            neighbour after the time given to `note_answers_after`, or None.
         is_reader: Whether this node reads the store.
         encoder: Encodes the replies to peers.
     """
@@ -102,6 +102,8 @@
         self._linked_at_s = clock()
         self._fallback_attempt = 0
         self.last_store_answer_s = float("-inf")
+        self.peer_answered_at_s: float | None = None
+        self._note_answers_after_s = float("inf")
         self.is_reader = False
         self.encoder = ViewEncoder(view)
         view.subscribe(lambda _: self.announce())
@@ -129,6 +131,28 @@
             is_alive and now_s - peer.store_answer_at_s < STORE_ACCESS_TIMEOUT_S
         )
 
+    def last_fresh_s(self) -> float:
+        """Returns until when the store may have answered others all the time.
+
+        A node that takes over reading in an outage notices it late.
+        """
+        now_s = self._clock()
+        if self._view_fresh_at_s == float("-inf"):
+            return now_s
+        return min(now_s, self._view_fresh_at_s + STORE_ANSWER_INTERVAL_S)
+
+    def note_answers_after(self, after_s: float) -> None:
+        """Begins to look for the first answer to a neighbour after a time."""
+        self._note_answers_after_s = after_s
+        self.peer_answered_at_s = None
+
+    def _note_answer_to_peer(self, answered_at_s: float) -> None:
+        if (
+            self.peer_answered_at_s is None
+            and answered_at_s > self._note_answers_after_s
+        ):
+            self.peer_answered_at_s = answered_at_s
+
     @property
     def lag_s(self) -> float:
         """Time since a peer first announced changes that are missing here."""
@@ -244,7 +268,7 @@
         return messages.ViewAnnounce(
             self._view.revision,
             age_ms,
-            NO_OUTAGE_MS,
+            int(self._table.outage_ended_ago_s() * 1000),
             max(1, int(min(view_age_s * 1000, NO_STORE_ACCESS_MS))),
             self._view_reader,
         )
@@ -286,6 +310,8 @@
             case messages.ViewAnnounce():
                 peer.revision = message.revision
                 peer.store_answer_at_s = now_s - message.source_age_ms / 1000
+                self._note_answer_to_peer(peer.store_answer_at_s)
+                self._table.record_outage_end(message.outage_ended_ms / 1000)
                 self._record_view_age(message, now_s)
                 self._catch_up(now_s)
             case messages.ViewRequest():
@@ -299,10 +325,6 @@
         self, message: messages.ViewAnnounce, now_s: float
     ) -> None:
         fresh_at_s = now_s - message.view_age_ms / 1000
-        # Earlier releases announce 0, and a node that knows of no answer the
-        # maximum.
-        if 0 < message.view_age_ms < NO_STORE_ACCESS_MS:
-            self._table.record_store_answer(fresh_at_s)
         if fresh_at_s > self._view_fresh_at_s:
             self._view_fresh_at_s = fresh_at_s
             self._view_reader = message.view_reader
--- a/magnoliafork/platform/store.py
+++ b/magnoliafork/platform/store.py
@@ -29,6 +29,15 @@
 )
 
 
+def watch_timeout_s(wait_s: float) -> float:
+    """Returns how long a watch with a wait may take.
+
+    >>> watch_timeout_s(2.0), watch_timeout_s(0.0)
+    (2.8, 1.5)
+    """
+    return max(READ_TIMEOUT_S, wait_s + WATCH_GRACE_S)
+
+
 class PlatformStore:
     """Implements `PublishedStore` over the platform's HTTP calls."""
 
@@ -80,7 +89,7 @@
             "wait_ms": str(int(wait_s * 1000)),
         }
         answer = await self._get(
-            names.WATCH_PATH, query, wait_s + WATCH_GRACE_S
+            names.WATCH_PATH, query, watch_timeout_s(wait_s)
         )
         if isinstance(answer, (HistoryGone, StoreUnavailable)):
             return answer
--- a/magnoliafork/wire/messages.py
+++ b/magnoliafork/wire/messages.py
@@ -252,8 +252,7 @@
     Attributes:
         revision: Revision up to which the sender's view is complete.
         source_age_ms: Time since the sender last heard from the store.
-        outage_ended_ms: Time since the last outage of the store ended, for
-            receivers of earlier releases. Others see outages in `view_age_ms`.
+        outage_ended_ms: Time since the last outage of the store ended.
         view_age_ms: Time since the newest answer of the store that the sender
             knows of, whoever got it; 0 if an earlier release does not tell.
         view_reader: Host that got that answer.
