--- a/magnoliafork/tests/soak/run.py
+++ b/magnoliafork/tests/soak/run.py
@@ -25,6 +25,7 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Time in which late copies of requests would still arrive.
 SETTLE_S = 1.0
+DELAY_CHECK_S = 0.05
 # Time after which a silenced link has been replaced.
 SILENT_LINK_S = 5.0
 
@@ -40,6 +41,8 @@
         statuses: Answers by status; 0 stands for none.
         faults: Faults in the order in which they were injected.
         late_ends: Processes that were killed after the grace period.
+        longest_delay_s: Longest time in which the loop of the soak, with its
+            links, store and upstreams, was blocked.
     """
 
     violations: list[str] = dataclasses.field(default_factory=list)
@@ -48,6 +51,7 @@
     )
     faults: list[str] = dataclasses.field(default_factory=list)
     late_ends: int = 0
+    longest_delay_s: float = 0.0
 
 
 class Soak:
@@ -78,15 +82,26 @@
         """Sends traffic, injects faults and checks the guarantees."""
         loop = asyncio.get_running_loop()
         end_s = loop.time() + seconds
+        delays = asyncio.create_task(self._record_delays())
         await asyncio.gather(
             self._inject(end_s),
             self._send(end_s),
         )
         await self._check_recovery()
         await asyncio.sleep(SETTLE_S)
+        delays.cancel()
         self._check_runs()
         return self.findings
 
+    async def _record_delays(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            due_s = loop.time() + DELAY_CHECK_S
+            await asyncio.sleep(DELAY_CHECK_S)
+            self.findings.longest_delay_s = max(
+                self.findings.longest_delay_s, loop.time() - due_s
+            )
+
     # Traffic.
 
     async def _send(self, end_s: float) -> None:
@@ -326,6 +341,7 @@
     print(
         f"seed {seed}: {dict(sorted(findings.statuses.items()))}"
         f" {len(findings.faults)} faults, {findings.late_ends} late ends,"
+        f" blocked {findings.longest_delay_s:.2f} s,"
         f" {'violated' if findings.violations else 'kept'}",
         flush=True,
     )
