--- a/magnoliafork/tests/soak/test_fleet.py
+++ b/magnoliafork/tests/soak/test_fleet.py
@@ -25,7 +25,7 @@
 async def late_exits(
     folder: pathlib.Path, end_after_s: float, blocked_s: float
 ) -> int:
-    """Stops a process in a loop that is blocked; returns late ends."""
+    """Stops a process in a loop that is blocked; returns late exits."""
     fleet = SoakFleet(folder, NETWORK)
     machine = fleet.machines[0]
 
