Log and count what upstreams state about themselves

Answers and health checks are parsed for a stated limit and for a statement that the upstream is about to stop. The node beside the upstream logs changes of both (upstream_limited, upstream_leaving) and shows them as metrics, with the requests sent in the last 4 s. An unreadable limit is logged and does not count as the end of a limit. Nothing acts on any of it yet.

--- a/magnoliafork/mesh/header_codec.py
+++ b/magnoliafork/mesh/header_codec.py
@@ -22,6 +22,22 @@
     remaining_ms: int | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamNotice:
+    """What an upstream states about itself in an answer.
+
+    Attributes:
+        rate_limit_per_s: Requests per second that it takes from all nodes
+            together; None if it states no limit.
+        is_limit_unreadable: Whether it states a limit that is no number.
+        is_leaving: Whether it is about to stop.
+    """
+
+    rate_limit_per_s: float | None = None
+    is_limit_unreadable: bool = False
+    is_leaving: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerHeaders:
     """Parsed headers of an upstream's answer.
@@ -31,11 +47,13 @@
         is_not_run: Whether the upstream states that it did not run the request.
         is_genuine: Whether the upstream itself may have sent the answer; a
             success without its seal header is not genuine.
+        notice: What the upstream states about itself.
     """
 
     attempt_id: str
     is_not_run: bool
     is_genuine: bool
+    notice: UpstreamNotice = UpstreamNotice()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,10 +63,12 @@
     Attributes:
         upstream_id: Id of the incarnation that answered; empty if unstated.
         cold_left_s: How long the upstream stays cold.
+        notice: What the upstream states about itself.
     """
 
     upstream_id: str
     cold_left_s: float
+    notice: UpstreamNotice = UpstreamNotice()
 
 
 class HeaderCodec(Protocol):
--- a/magnoliafork/mesh/metrics.py
+++ b/magnoliafork/mesh/metrics.py
@@ -38,6 +38,11 @@
         "calls_broken_total": receiver.broken,
         "calls_active": node.receiver.active,
         "calls_queued": node.receiver.queued,
+        "calls_sent_last_4_seconds": node.receiver.notices.sent_in_window,
+        "upstream_rate_limit_per_second": (
+            node.receiver.notices.rate_limit_per_s or 0.0
+        ),
+        "upstream_is_leaving": int(node.receiver.notices.is_leaving),
         "health_checks_total": node.receiver.health_checks,
         "upstream_connections_total": node.client.connections_opened,
         "log_lines_dropped_total": node.log.dropped_lines,
--- a/magnoliafork/mesh/receiver.py
+++ b/magnoliafork/mesh/receiver.py
@@ -13,6 +13,7 @@
 from magnoliafork.mesh.cold_state_monitor import ColdStateMonitor
 from magnoliafork.mesh.header_codec import HeaderCodec
 from magnoliafork.mesh.model import MeshService, UpstreamEntry
+from magnoliafork.mesh.notice_monitor import NoticeMonitor
 from magnoliafork.mesh.upstream import (
     Upstream,
     UpstreamAnswered,
@@ -149,6 +150,7 @@
             log,
             on_reachable=self._on_reachable,
         )
+        self.notices = NoticeMonitor(clock, log)
         self.is_stopping = False
         self.counters = ReceiverCounters()
         view.subscribe(self._on_changes)
@@ -412,11 +414,26 @@
             is_repeatable=request.repeatable,
         )
         self.counters.sent += 1
+        self.notices.record_sent()
         try:
             async with asyncio.timeout_at(deadline_s + ANSWER_GRACE_S):
-                return await self._client.send(call)
+                result = await self._client.send(call)
         except TimeoutError:
             return UpstreamUnknown("no answer in time", False)
+        self._record_notice(entry, result)
+        return result
+
+    def _record_notice(
+        self, entry: UpstreamEntry | None, result: UpstreamResult
+    ) -> None:
+        """Records what the upstream that was meant states about itself."""
+        if entry is None or isinstance(result, UpstreamUnknown):
+            return
+        is_other = (
+            isinstance(result, UpstreamNotRun) and result.status == _MISDIRECTED
+        )
+        if result.notice is not None and not is_other:
+            self.notices.record(entry, result.notice)
 
     def _not_run(
         self, request: messages.CallRequest, result: UpstreamNotRun
--- a/magnoliafork/mesh/upstream.py
+++ b/magnoliafork/mesh/upstream.py
@@ -5,7 +5,11 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from magnoliafork.mesh.header_codec import HeaderCodec, HealthHeaders
+from magnoliafork.mesh.header_codec import (
+    HeaderCodec,
+    HealthHeaders,
+    UpstreamNotice,
+)
 from magnoliafork.mesh.http_exchange import (
     HttpAnswer,
     HttpConnection,
@@ -51,11 +55,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamAnswered:
-    """The upstream's complete answer."""
+    """The upstream's complete answer.
+
+    Attributes:
+        status: Status code.
+        headers: Headers to return to the caller.
+        body: Whole body.
+        notice: What the upstream states about itself.
+    """
 
     status: int
     headers: Headers
     body: bytes
+    notice: UpstreamNotice = UpstreamNotice()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,11 +78,13 @@
         detail: Cause for logs.
         was_sent: Whether the request reached the upstream.
         status: Status of its refusal, 0 if there was none.
+        notice: What its refusal states about it, if there was one.
     """
 
     detail: str
     was_sent: bool
     status: int = 0
+    notice: UpstreamNotice | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -244,7 +258,10 @@
         )
         if answer_headers.is_not_run:
             return UpstreamNotRun(
-                f"status {result.status}", True, result.status
+                f"status {result.status}",
+                True,
+                result.status,
+                answer_headers.notice,
             )
         is_paired = answer_headers.attempt_id == call.attempt_id
         if not answer_headers.is_genuine or (
@@ -257,4 +274,5 @@
             result.status,
             self._header_codec.returned_headers(result.headers),
             result.body,
+            answer_headers.notice,
         )
--- a/magnoliafork/observe/events.py
+++ b/magnoliafork/observe/events.py
@@ -31,6 +31,8 @@
     VIEW_RESTORED = "view_restored"
     UPSTREAM_COLD = "upstream_cold"
     UPSTREAM_REFUSED = "upstream_refused"
+    UPSTREAM_LIMITED = "upstream_limited"
+    UPSTREAM_LEAVING = "upstream_leaving"
     INSTANCE_EJECTED = "instance_ejected"
     OUTCOME_UNKNOWN = "outcome_unknown"
     SPANS_DROPPED = "spans_dropped"
--- a/magnoliafork/platform/header_codec.py
+++ b/magnoliafork/platform/header_codec.py
@@ -7,6 +7,7 @@
     CallerHeaders,
     HealthHeaders,
     RawHeaders,
+    UpstreamNotice,
 )
 from magnoliafork.model.request import Headers
 from magnoliafork.platform import names
@@ -18,6 +19,7 @@
 # Of an upstream that drains or fails, or that refuses the check for want of a
 # slot.
 _UNHEALTHY = 503
+_IS_LEAVING = "1"
 _SET_BY_NODES = frozenset(
     name.lower()
     for name in (
@@ -79,6 +81,7 @@
             # Callers ask for unencoded bodies; an encoded one is not genuine.
             is_genuine="content-encoding" not in found
             and (has_seal or not is_success),
+            notice=_notice(found),
         )
 
     def returned_headers(self, headers: RawHeaders) -> Headers:
@@ -98,7 +101,9 @@
         if cold_ms is None or status not in (_HEALTHY, _UNHEALTHY):
             return None
         return HealthHeaders(
-            found.get(names.INSTANCE_ID.lower(), ""), _seconds(cold_ms)
+            found.get(names.INSTANCE_ID.lower(), ""),
+            _seconds(cold_ms),
+            _notice(found),
         )
 
 
@@ -106,6 +111,20 @@
     return {name.lower(): value for name, value in headers}
 
 
+def _notice(found: dict[str, str]) -> UpstreamNotice:
+    limit = found.get(names.SERVER_LIMIT.lower())
+    is_leaving = found.get(names.SERVER_LEAVING.lower(), "") == _IS_LEAVING
+    if limit is None:
+        return UpstreamNotice(is_leaving=is_leaving)
+    try:
+        per_s = float(limit)
+    except ValueError:
+        per_s = math.nan
+    if not math.isfinite(per_s) or per_s < 0:
+        return UpstreamNotice(is_limit_unreadable=True, is_leaving=is_leaving)
+    return UpstreamNotice(per_s, is_leaving=is_leaving)
+
+
 def _seconds(milliseconds: str) -> float:
     """Converts milliseconds; a value that is no finite number counts as 0."""
     try:
--- a/magnoliafork/platform/names.py
+++ b/magnoliafork/platform/names.py
@@ -16,3 +16,6 @@
 CALLER_SERVICE = "Magnoliafork-Caller-Service"
 INSTANCE_ID = "Magnoliafork-Instance-Id"
 COLD_MS = "Magnoliafork-Cold-Ms"
+# Requests per second that a server takes from all machines together.
+SERVER_LIMIT = "Server-Limit"
+SERVER_LEAVING = "Server-Leaving"
--- a/magnoliafork/tests/platform/test_header_codec.py
+++ b/magnoliafork/tests/platform/test_header_codec.py
@@ -1,6 +1,8 @@
 """Headers of requests and answers on the platform."""
 
-from magnoliafork.mesh.header_codec import HealthHeaders
+import pytest
+
+from magnoliafork.mesh.header_codec import HealthHeaders, UpstreamNotice
 from magnoliafork.platform import names
 from magnoliafork.platform.header_codec import PlatformHeaderCodec
 
@@ -87,3 +89,35 @@
             200, [(names.COLD_MS, text)]
         )
         assert health_headers == HealthHeaders("", 0.0)
+
+
+@pytest.mark.parametrize(
+    ("headers", "notice"),
+    [
+        ([], UpstreamNotice()),
+        ([("server-limit", "16.8")], UpstreamNotice(16.8)),
+        ([(names.SERVER_LIMIT, "0")], UpstreamNotice(0.0)),
+        (
+            [(names.SERVER_LIMIT, "soon"), (names.SERVER_LEAVING, "1")],
+            UpstreamNotice(is_limit_unreadable=True, is_leaving=True),
+        ),
+        (
+            [(names.SERVER_LIMIT, "nan")],
+            UpstreamNotice(is_limit_unreadable=True),
+        ),
+        (
+            [(names.SERVER_LIMIT, "-1")],
+            UpstreamNotice(is_limit_unreadable=True),
+        ),
+        ([(names.SERVER_LEAVING, "0")], UpstreamNotice()),
+    ],
+)
+def test_statements_of_upstreams_are_parsed(
+    headers: list[tuple[str, str]], notice: UpstreamNotice
+) -> None:
+    """Guards against taking an unreadable limit for the end of the limit."""
+    answer = CODEC.parse_answer_headers(503, headers)
+    assert answer.notice == notice
+    health = CODEC.parse_health_headers(200, headers)
+    assert health is not None
+    assert health.notice == notice
