Keep the rate limit that an upstream states

Cause: no part read the limit. Class: a bound on the sum over all nodes that no node keeps.

Change: the node beside the upstream, which all requests pass, spaces them out at the stated rate (StatedRateLimiter) and refuses at once what would wait too long. Its replies state the limit and the time until the next free request; senders choose by it and state the limit in their calls, so that a node that has just started knows it before its upstream has answered. A limit ends with an answer without one to a request sent after the last answer that stated it; a refusal or a health check never ends it. Health checks count and use at most half of it.

--- a/magnoliafork/mesh/cold_state_monitor.py
+++ b/magnoliafork/mesh/cold_state_monitor.py
@@ -10,6 +10,7 @@
 
 from magnoliafork.mesh.cold_rate_limiter import ColdRateLimiter
 from magnoliafork.mesh.model import UpstreamEntry
+from magnoliafork.mesh.notice_monitor import NoticeMonitor
 from magnoliafork.mesh.upstream import Upstream
 from magnoliafork.mesh.upstream_table import UpstreamTable
 from magnoliafork.mesh.view import Change, MeshView
@@ -18,6 +19,9 @@
 
 # Interval of health checks while it is unknown whether the upstream is cold.
 HEALTH_CHECK_INTERVAL_S = 0.4
+# Share of a stated rate limit that health checks may use; the upstream counts
+# them like requests.
+HEALTH_CHECK_LIMIT_SHARE = 0.5
 
 
 class ColdStateMonitor:
@@ -27,6 +31,7 @@
         self,
         address: tuple[str, int],
         limiter: ColdRateLimiter,
+        notices: NoticeMonitor,
         view: MeshView,
         table: UpstreamTable,
         client: Upstream,
@@ -39,6 +44,7 @@
         Args:
             address: Host and port of the upstream.
             limiter: Gets the cold state.
+            notices: Gets what the answers to checks state.
             view: Published state.
             table: Upstreams, including entries that expired in an outage.
             client: Connections to the upstream.
@@ -48,6 +54,7 @@
         """
         self._address = address
         self._limiter = limiter
+        self._notices = notices
         self._view = view
         self._table = table
         self._client = client
@@ -74,11 +81,9 @@
         self._was_zone_out = is_out
 
     def _on_entry(self, before: object, after: UpstreamEntry) -> None:
-        is_same = (
-            isinstance(before, UpstreamEntry)
-            and before.upstream_id == after.upstream_id
-            and before.started_unix_ms == after.started_unix_ms
-        )
+        is_same = isinstance(
+            before, UpstreamEntry
+        ) and before.is_same_incarnation(after)
         if not is_same:
             self.mark_unknown(f"new upstream {after.upstream_id}")
             self._on_reachable()
@@ -105,17 +110,31 @@
             service = None
             if config is not None and entry is not None:
                 service = config.services.get(entry.service)
-            if service is not None and now_s >= self._next_check_s:
-                self._next_check_s = now_s + HEALTH_CHECK_INTERVAL_S
-                if await self._check_health(service.health_path):
+            is_due = now_s >= self._next_check_s
+            if entry is not None and service is not None and is_due:
+                self._next_check_s = now_s + self._check_interval_s()
+                if await self._check_health(entry, service.health_path):
                     return
             await asyncio.sleep(HEALTH_CHECK_INTERVAL_S / 4)
 
-    async def _check_health(self, health_path: str) -> bool:
+    def _check_interval_s(self) -> float:
+        rate_per_s = self._notices.limiter.rate_per_s
+        if rate_per_s <= 0:
+            return HEALTH_CHECK_INTERVAL_S
+        return max(
+            HEALTH_CHECK_INTERVAL_S, 1 / (rate_per_s * HEALTH_CHECK_LIMIT_SHARE)
+        )
+
+    async def _check_health(
+        self, entry: UpstreamEntry, health_path: str
+    ) -> bool:
         self.health_checks += 1
+        self._notices.record_sent()
         health_headers = await self._client.health(health_path)
         if health_headers is None or not health_headers.upstream_id:
             return False
+        if health_headers.upstream_id == entry.upstream_id:
+            self._notices.record_partial(entry, health_headers.notice)
         self._limiter.set_cold_time(health_headers.cold_left_s, self._clock())
         self._log.info(
             Event.UPSTREAM_COLD,
--- a/magnoliafork/mesh/metrics.py
+++ b/magnoliafork/mesh/metrics.py
@@ -40,7 +40,7 @@
         "calls_queued": node.receiver.queued,
         "calls_sent_last_4_seconds": node.receiver.notices.sent_in_window,
         "upstream_rate_limit_per_second": (
-            node.receiver.notices.rate_limit_per_s or 0.0
+            node.receiver.notices.limiter.limit_per_s or 0.0
         ),
         "upstream_is_leaving": int(node.receiver.notices.is_leaving),
         "health_checks_total": node.receiver.health_checks,
--- a/magnoliafork/mesh/model.py
+++ b/magnoliafork/mesh/model.py
@@ -118,6 +118,13 @@
     cold_left_s: float
     started_unix_ms: int
 
+    def is_same_incarnation(self, other: "UpstreamEntry") -> bool:
+        """Whether both entries are of one start of one upstream."""
+        return (
+            self.upstream_id == other.upstream_id
+            and self.started_unix_ms == other.started_unix_ms
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ZoneOut:
--- a/magnoliafork/mesh/receiver.py
+++ b/magnoliafork/mesh/receiver.py
@@ -14,6 +14,7 @@
 from magnoliafork.mesh.header_codec import HeaderCodec
 from magnoliafork.mesh.model import MeshService, UpstreamEntry
 from magnoliafork.mesh.notice_monitor import NoticeMonitor
+from magnoliafork.mesh.stated_rate_limiter import from_milli, to_milli
 from magnoliafork.mesh.upstream import (
     Upstream,
     UpstreamAnswered,
@@ -63,6 +64,8 @@
 UNAVAILABLE_RETRY_MS = 1000
 TRANSIENT_FAILURE_RETRY_MS = 300
 EXPIRED_RETRY_MS = 300
+# Longest wait for a rate limit that is told to senders.
+MAX_RATE_WAIT_S = 60.0
 _SERVER_ERROR = 500
 _MISDIRECTED = 421
 
@@ -140,9 +143,11 @@
         self._down_until_s = 0.0
         self._failure_share = 0.0
         self._dispatch_timer: asyncio.TimerHandle | None = None
+        self.notices = NoticeMonitor(table, clock, log)
         self._cold_monitor = ColdStateMonitor(
             address,
             self._cold_limiter,
+            self.notices,
             view,
             table,
             client,
@@ -150,7 +155,6 @@
             log,
             on_reachable=self._on_reachable,
         )
-        self.notices = NoticeMonitor(clock, log)
         self.is_stopping = False
         self.counters = ReceiverCounters()
         view.subscribe(self._on_changes)
@@ -219,6 +223,9 @@
         """Runs one request; is cancelled when the sender cancels it."""
         del sender_id
         self.counters.calls += 1
+        self.notices.record_copy(
+            request.upstream_id, from_milli(request.rate_limit_milli)
+        )
         if request.repeatable:
             outcome = await self._serve(request)
         else:
@@ -414,26 +421,27 @@
             is_repeatable=request.repeatable,
         )
         self.counters.sent += 1
-        self.notices.record_sent()
         try:
             async with asyncio.timeout_at(deadline_s + ANSWER_GRACE_S):
                 result = await self._client.send(call)
         except TimeoutError:
             return UpstreamUnknown("no answer in time", False)
-        self._record_notice(entry, result)
+        if entry is not None:
+            self._record_notice(entry, result, now_s)
         return result
 
     def _record_notice(
-        self, entry: UpstreamEntry | None, result: UpstreamResult
+        self, entry: UpstreamEntry, result: UpstreamResult, sent_s: float
     ) -> None:
         """Records what the upstream that was meant states about itself."""
-        if entry is None or isinstance(result, UpstreamUnknown):
-            return
-        is_other = (
-            isinstance(result, UpstreamNotRun) and result.status == _MISDIRECTED
-        )
-        if result.notice is not None and not is_other:
-            self.notices.record(entry, result.notice)
+        if isinstance(result, UpstreamAnswered):
+            self.notices.record_answer(entry, result.notice, sent_s)
+        elif (
+            isinstance(result, UpstreamNotRun)
+            and result.notice is not None
+            and result.status != _MISDIRECTED
+        ):
+            self.notices.record_partial(entry, result.notice)
 
     def _not_run(
         self, request: messages.CallRequest, result: UpstreamNotRun
@@ -493,6 +501,10 @@
             rate_wait_s = self._cold_limiter.wait_s(
                 per_s, now_s, is_short=is_short
             )
+        limiter = self.notices.limiter
+        if limiter.limit_per_s is not None:
+            rate = min(rate or limiter.rate_per_s, limiter.rate_per_s)
+            rate_wait_s = max(rate_wait_s, limiter.wait_s(now_s))
         return Capacity(
             self.limit, left_s, rate, self._work_times.longest_s, rate_wait_s
         )
@@ -531,6 +543,7 @@
                 )
                 continue
             self._cold_limiter.record_sent(now_s, is_short=waiting.is_short)
+            self.notices.record_sent()
             self._active[id(request)] = (now_s, waiting.work_s)
             waiting.item.decision.set_result(None)
 
@@ -547,10 +560,14 @@
             waiting.item.decision.set_result(refusal)
 
     def _take_next(self, now_s: float) -> WaitingCall[_QueuedRequest] | None:
-        """Takes the next request that the cold limit allows.
+        """Takes the next request that the rate limits allow.
 
-        Schedules another dispatch if the limit allows none now.
+        Schedules another dispatch if they allow none now.
         """
+        stated_wait_s = self.notices.limiter.wait_s(now_s)
+        if stated_wait_s > 0:
+            self._dispatch_after(stated_wait_s)
+            return None
         per_s = self._cold_per_s()
         long_wait_s = self._cold_limiter.wait_s(per_s, now_s, is_short=False)
         if long_wait_s <= 0:
@@ -579,6 +596,7 @@
         ) * FAILURE_AVERAGE_WEIGHT
 
     def _on_changes(self, changes: Sequence[Change]) -> None:
+        self.notices.set_entry(self._entry())
         self._cold_monitor.on_changes(changes)
         self._dispatch()
 
@@ -610,6 +628,7 @@
         kind = request.target_latency_ms if request is not None else 0
         work_ms = int(self._work_times.work_s(kind) * 1000)
         failure_permille = int(self._failure_share * 1000)
+        statements = self._statements()
         if isinstance(outcome, Answered):
             return messages.CallAnswer(
                 0,
@@ -622,6 +641,7 @@
                 self.queued,
                 work_ms,
                 failure_permille,
+                *statements,
             )
         if isinstance(outcome, NotRun):
             return messages.CallRefused(
@@ -634,5 +654,24 @@
                 self.queued,
                 work_ms,
                 failure_permille,
+                *statements,
             )
         return messages.CallUnknown(0, outcome.reason.value)
+
+    def _statements(self) -> tuple[str, int, int, int, bool]:
+        """Returns the fields of a reply that tell what the upstream states."""
+        limiter, entry = self.notices.limiter, self.notices.entry
+        is_leaving = self.notices.is_leaving
+        if entry is None or (limiter.limit_per_s is None and not is_leaving):
+            return "", 0, 0, 0, False
+        wait_s = 0.0
+        if limiter.limit_per_s is not None:
+            wait_s = limiter.wait_s(self._clock())
+            wait_s += self.queued / limiter.rate_per_s
+        return (
+            entry.upstream_id,
+            entry.started_unix_ms,
+            to_milli(limiter.limit_per_s),
+            int(min(wait_s, MAX_RATE_WAIT_S) * 1000),
+            is_leaving,
+        )
--- a/magnoliafork/mesh/sender.py
+++ b/magnoliafork/mesh/sender.py
@@ -491,7 +491,9 @@
         pending.reached += 1
         state = CallState(
             dataclasses.replace(
-                pending.state.template, upstream_id=entry.upstream_id
+                pending.state.template,
+                upstream_id=entry.upstream_id,
+                rate_limit_milli=self.selector.rate_limit_milli(entry),
             ),
             pending.state.deadline_s,
         )
--- a/magnoliafork/mesh/upstream_selector.py
+++ b/magnoliafork/mesh/upstream_selector.py
@@ -51,6 +51,21 @@
 AVERAGE_WEIGHT = 0.1
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _RateLimit:
+    """Limit that an upstream has stated for the requests of all nodes.
+
+    Attributes:
+        upstream_id: The upstream.
+        milli: Requests per 1000 s.
+        free_at_s: Time at which the limit allows a request of this node.
+    """
+
+    upstream_id: str
+    milli: int
+    free_at_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class _HostState:
     """Load and failures of one upstream, from replies and own calls."""
@@ -67,6 +82,7 @@
     refused_until_s: float = float("-inf")
     unreachable_until_s: float = float("-inf")
     unreachable_for_s: float = 0.0
+    rate_limit: _RateLimit | None = None
     work_s: dict[int, float] = dataclasses.field(default_factory=dict)
 
 
@@ -109,6 +125,7 @@
         state = self._state_of(instance_id)
         state.in_flight += 1
         state.sent_since_hint += 1
+        _use_rate_limit(state, self._clock())
         state.last_call_at_s = self._clock()
 
     def end(self, instance_id: str) -> None:
@@ -141,6 +158,7 @@
             state.failure_share = reply.failure_permille / 1000
             state.failures_at_s = now_s
             self._record_work(request, state, reply.mean_work_ms)
+            _record_rate_limit(state, reply, now_s)
         if isinstance(reply, messages.CallAnswer):
             self._record_size(request.target_latency_ms, len(reply.body))
         if isinstance(reply, messages.CallRefused):
@@ -170,6 +188,14 @@
             if is_old and state.in_flight <= 0:
                 del self._states[host]
 
+    def rate_limit_milli(self, entry: UpstreamEntry) -> int:
+        """Returns the limit that an upstream has stated; 0 if none is known."""
+        state = self._states.get(entry.host)
+        limit = state.rate_limit if state is not None else None
+        if limit is None or limit.upstream_id != entry.upstream_id:
+            return 0
+        return limit.milli
+
     # Selection.
 
     def choose(
@@ -206,6 +232,8 @@
         limit = state.limit or entry.slots
         backlog = self._backlog(state, limit, work_s, now_s)
         wait_s = max(0.0, backlog + 1 - limit) * work_s / limit
+        if self.rate_limit_milli(entry) and state.rate_limit is not None:
+            wait_s = max(wait_s, state.rate_limit.free_at_s - now_s)
         return wait_s + work_s
 
     def cost(
@@ -299,3 +327,31 @@
             self._drop_idle(now_s)
             state = self._states[host] = _HostState(last_call_at_s=now_s)
         return state
+
+
+def _record_rate_limit(
+    state: _HostState,
+    reply: messages.CallAnswer | messages.CallRefused,
+    now_s: float,
+) -> None:
+    """Records the limit in a reply.
+
+    The node of a refusal may have started a moment ago and not know the limit
+    yet, so only an answer without a limit ends it.
+    """
+    if reply.rate_limit_milli:
+        state.rate_limit = _RateLimit(
+            reply.upstream_id,
+            reply.rate_limit_milli,
+            now_s + reply.rate_wait_ms / 1000,
+        )
+    elif isinstance(reply, messages.CallAnswer):
+        state.rate_limit = None
+
+
+def _use_rate_limit(state: _HostState, now_s: float) -> None:
+    """Counts a request of this node until the next reply tells more."""
+    limit = state.rate_limit
+    if limit is not None:
+        free_at_s = max(limit.free_at_s, now_s) + 1000 / limit.milli
+        state.rate_limit = dataclasses.replace(limit, free_at_s=free_at_s)
--- a/magnoliafork/mesh/upstream_table.py
+++ b/magnoliafork/mesh/upstream_table.py
@@ -27,6 +27,9 @@
 # reach the upstream. An upstream that was removed may stop after its drain
 # timeout.
 REMOVAL_DELAY_S = 0.3
+# Upstreams of which it is kept that they have stated to stop; the oldest are
+# dropped.
+MAX_LEAVING = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,6 +70,8 @@
         )
         self._expired: dict[str, _ExpiredEntry] = {}
         self._outage_ended_at_s = clock() - MAX_OUTAGE_AGE_S
+        # Start of the incarnation that is leaving, by upstream id.
+        self._leaving: dict[str, int] = {}
         self.change_count = 0
         view.subscribe(self._on_changes)
 
@@ -104,6 +109,23 @@
             if entry.is_ready and entry.zone not in zones_out
         )
 
+    def record_leaving(self, upstream_id: str, started_unix_ms: int) -> None:
+        """Records that an upstream has stated that it is about to stop.
+
+        It gets no more requests, whatever the store says of it: its entry may
+        change later, or never before it is removed.
+        """
+        if self._leaving.get(upstream_id) == started_unix_ms:
+            return
+        self._leaving[upstream_id] = started_unix_ms
+        if len(self._leaving) > MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        self.change_count += 1
+
+    def is_leaving(self, entry: UpstreamEntry) -> bool:
+        """Whether an upstream has stated that it is about to stop."""
+        return self._leaving.get(entry.upstream_id) == entry.started_unix_ms
+
     def at(self, host: str, port: int) -> UpstreamEntry | None:
         """Returns the entry of an address, even if it expired in an outage."""
         known = self._view.upstream_at(host, port)
--- a/magnoliafork/proxy/attempt.py
+++ b/magnoliafork/proxy/attempt.py
@@ -334,6 +334,7 @@
         template.upstream_id,
         template.target_latency_ms,
         template.age_ms,
+        template.rate_limit_milli,
     )
 
 
--- a/magnoliafork/tests/mesh/test_sender.py
+++ b/magnoliafork/tests/mesh/test_sender.py
@@ -1,6 +1,7 @@
 """Outcomes that callers get when single attempts fail, hang or are lost."""
 
 import asyncio
+import dataclasses
 import io
 import random
 from collections.abc import Awaitable, Callable
@@ -449,3 +450,48 @@
         assert loop.time() - started_s < 2.0
 
     run(test)
+
+
+def limited(reply: messages.CallAnswer, name: str = "a") -> messages.CallAnswer:
+    return dataclasses.replace(
+        reply, upstream_id=name, upstream_started_ms=1, rate_limit_milli=4000
+    )
+
+
+def test_calls_state_the_limit_that_their_upstream_has_stated() -> None:
+    """A node that has just started would exceed the limit of its upstream."""
+
+    async def test() -> None:
+        seen: list[messages.CallRequest] = []
+        replies = [limited(answered()), answered(), answered()]
+
+        async def script(_: str, call: messages.CallRequest) -> Reply:
+            seen.append(call)
+            return replies[len(seen) - 1]
+
+        setup = SenderSetup(script)
+        setup.published.withdraw(entry("b"))
+        setup.published.withdraw(entry("c"))
+        for _ in replies:
+            await setup.send()
+        # An answer without a limit ends it.
+        assert [c.rate_limit_milli for c in seen] == [0, 4000, 0]
+
+    run(test)
+
+
+def test_upstream_with_a_used_up_limit_is_not_chosen() -> None:
+    """Callers were refused while another upstream had no limit."""
+
+    async def test() -> None:
+        async def script(host: str, _: messages.CallRequest) -> Reply:
+            if host != entry("a").host:
+                return answered()
+            return dataclasses.replace(limited(answered()), rate_wait_ms=900)
+
+        setup = SenderSetup(script)
+        for _ in range(30):
+            await setup.send()
+        assert setup.peers.calls.count(entry("a").host) <= 1
+
+    run(test)
--- a/magnoliafork/wire/messages.py
+++ b/magnoliafork/wire/messages.py
@@ -148,7 +148,9 @@
 
     `is_keyed` means that the request id comes from the caller's idempotency
     key, so other instances may have to be fenced first; `is_first_attempt`
-    means that the caller has never sent this key before.
+    means that the caller has never sent this key before. `rate_limit_milli` is
+    the limit of `upstream_id` as the sender knows it, in requests per 1000 s; 0
+    if it knows none.
     """
 
     stream_id: int
@@ -168,11 +170,18 @@
     upstream_id: str = ""
     target_latency_ms: int = 0
     age_ms: int = 0
+    rate_limit_milli: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallAnswer:
-    """The upstream's complete answer."""
+    """The upstream's complete answer.
+
+    The last fields tell what an upstream has stated about itself, and are empty
+    if it has stated nothing: its id and start, its rate limit in requests per
+    1000 s, the time until the limit allows another request, and whether it is
+    about to stop.
+    """
 
     stream_id: int
     status: int
@@ -184,6 +193,11 @@
     queued: int = 0
     mean_work_ms: int = 0
     failure_permille: int = 0
+    upstream_id: str = ""
+    upstream_started_ms: int = 0
+    rate_limit_milli: int = 0
+    rate_wait_ms: int = 0
+    is_leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -191,7 +205,8 @@
     """The request was not run here.
 
     With the reason `moved`, `moved_to` names the instance that has taken the
-    request over; otherwise it is empty.
+    request over; otherwise it is empty. The last fields are those of
+    `CallAnswer`; without a limit they do not tell that the limit has ended.
     """
 
     stream_id: int
@@ -203,6 +218,11 @@
     queued: int = 0
     mean_work_ms: int = 0
     failure_permille: int = 0
+    upstream_id: str = ""
+    upstream_started_ms: int = 0
+    rate_limit_milli: int = 0
+    rate_wait_ms: int = 0
+    is_leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/magnoliafork/wire/peer.thrift
+++ b/magnoliafork/wire/peer.thrift
@@ -99,6 +99,7 @@
     15: string upstream_id
     16: i32 target_latency_ms
     17: i32 age_ms
+    18: i32 rate_limit_milli
 }
 
 struct CallAnswer {
@@ -112,6 +113,11 @@
     8: i32 queued
     9: i32 mean_work_ms
     10: i32 failure_permille
+    11: string upstream_id
+    12: i64 upstream_started_ms
+    13: i32 rate_limit_milli
+    14: i32 rate_wait_ms
+    15: bool is_leaving
 }
 
 struct CallRefused {
@@ -124,6 +130,11 @@
     7: i32 queued
     8: i32 mean_work_ms
     9: i32 failure_permille
+    10: string upstream_id
+    11: i64 upstream_started_ms
+    12: i32 rate_limit_milli
+    13: i32 rate_wait_ms
+    14: bool is_leaving
 }
 
 struct CallUnknown {
