Send nothing more to an upstream that states that it leaves

Cause: no part read the statement, and a drain was known from the store alone. Class: a fact that the upstream tells in its answers was taken from the store only. Change: the node beside the upstream records it from answers and health checks, refuses queued and new requests as drained, and tells the senders in its replies; a sender that was told chooses that incarnation no more, whatever the store says of it. The mark lasts as long as the incarnation (id and start).

Tests fail without the change: 5 of the 6 new cases.

--- a/magnoliafork/mesh/receiver.py
+++ b/magnoliafork/mesh/receiver.py
@@ -207,7 +207,7 @@
         entry = self._entry()
         if entry is None or entry.service != service_name:
             return NotRunReason.NO_INSTANCE
-        if not entry.is_ready:
+        if not entry.is_ready or self._table.is_leaving(entry):
             return NotRunReason.DRAINED
         if entry.zone in self._view.zones_out:
             return NotRunReason.ZONE_OUT
--- a/magnoliafork/mesh/sender.py
+++ b/magnoliafork/mesh/sender.py
@@ -27,7 +27,7 @@
 from magnoliafork.observe.logs import EventLog
 from magnoliafork.proxy.attempt import Attempts, CallState, Moved
 from magnoliafork.wire import messages
-from magnoliafork.wire.api import PeerCalls
+from magnoliafork.wire.api import LinkFailure, PeerCalls
 
 # Maximum number of upstreams tried for one request; a refusal by a node costs
 # one round trip.
@@ -168,6 +168,39 @@
     answered: Answered | None = None
 
 
+class _Observer:
+    """Implements `AttemptObserver`: updates the selector and the table."""
+
+    def __init__(
+        self, selector: UpstreamSelector, table: UpstreamTable
+    ) -> None:
+        self._selector = selector
+        self._table = table
+        self.begin = selector.begin
+        self.end = selector.end
+        self.lost_to_hedge = selector.lost_to_hedge
+
+    def observe(
+        self,
+        request: messages.CallRequest,
+        instance_id: str,
+        instance_count: int,
+        reply: messages.CallReply | LinkFailure,
+        waited_s: float,
+    ) -> None:
+        """Records the reply to an attempt, or its link failure."""
+        self._selector.observe(
+            request, instance_id, instance_count, reply, waited_s
+        )
+        if (
+            isinstance(reply, (messages.CallAnswer, messages.CallRefused))
+            and reply.is_leaving
+        ):
+            self._table.record_leaving(
+                reply.upstream_id, reply.upstream_started_ms
+            )
+
+
 class MeshSender:
     """Sends the requests of callers on this machine to upstreams."""
 
@@ -205,7 +238,7 @@
         self._end_s = math.inf
         self._timeouts: set[asyncio.Timeout] = set()
         self.selector = UpstreamSelector(own_zone, rng, clock)
-        self._attempts = Attempts(peers, self.selector, clock)
+        self._attempts = Attempts(peers, _Observer(self.selector, table), clock)
         self._split = WeightedSplit(rng)
         self._age_estimator = RequestAgeEstimator()
         self._index: RouteIndex | None = None
--- a/magnoliafork/mesh/upstream_table.py
+++ b/magnoliafork/mesh/upstream_table.py
@@ -106,7 +106,9 @@
         return tuple(
             entry
             for entry in (*known, *expired)
-            if entry.is_ready and entry.zone not in zones_out
+            if entry.is_ready
+            and entry.zone not in zones_out
+            and not self.is_leaving(entry)
         )
 
     def record_leaving(self, upstream_id: str, started_unix_ms: int) -> None:
--- a/magnoliafork/tests/mesh/test_receiver.py
+++ b/magnoliafork/tests/mesh/test_receiver.py
@@ -6,11 +6,13 @@
 
 import pytest
 
+from magnoliafork.mesh.header_codec import UpstreamNotice
 from magnoliafork.mesh.receiver import MeshReceiver
 from magnoliafork.mesh.upstream import (
     UpstreamUnknown,
 )
 from magnoliafork.mesh.upstream_table import UpstreamTable
+from magnoliafork.model.request import NotRunReason
 from magnoliafork.observe.logs import EventLog
 from magnoliafork.platform.header_codec import PlatformHeaderCodec
 from magnoliafork.tests.mesh.builders import (
@@ -382,3 +384,37 @@
         assert upstream.arrivals == []
 
     run(test)
+
+
+def test_upstream_that_states_to_leave_gets_no_queued_or_new_requests() -> None:
+    """Requests were cut when the upstream stopped, and senders not told."""
+
+    async def test() -> None:
+        harness = await ReceiverHarness().announced()
+        harness.upstream.notice = UpstreamNotice(is_leaving=True)
+        replies = await asyncio.gather(
+            *[harness.call(f"r{n}") for n in range(8)]
+        )
+        late = await harness.call("late")
+        assert len(harness.upstream.arrivals) == OWN.slots
+        for reply in (*replies[OWN.slots :], late):
+            assert isinstance(reply, messages.CallRefused)
+            assert reply.reason == NotRunReason.DRAINED
+            assert reply.is_leaving
+            assert (reply.upstream_id, reply.upstream_started_ms) == ("a", 1)
+
+    run(test)
+
+
+def test_health_check_tells_that_the_upstream_leaves() -> None:
+    """A node that started beside a stopping upstream would send to it."""
+
+    async def test() -> None:
+        upstream = FakeUpstream()
+        upstream.health_notice = UpstreamNotice(is_leaving=True)
+        harness = await ReceiverHarness(upstream).announced()
+        reply = await harness.call()
+        assert isinstance(reply, messages.CallRefused)
+        assert upstream.arrivals == []
+
+    run(test)
--- a/magnoliafork/tests/mesh/test_sender.py
+++ b/magnoliafork/tests/mesh/test_sender.py
@@ -495,3 +495,32 @@
         assert setup.peers.calls.count(entry("a").host) <= 1
 
     run(test)
+
+
+@pytest.mark.parametrize("reply", [answered(), refused("drained")])
+def test_upstream_that_states_to_leave_is_chosen_again(
+    reply: messages.CallAnswer | messages.CallRefused,
+) -> None:
+    """Requests reached an upstream long after it had stated to leave."""
+
+    async def test() -> None:
+        leaving = dataclasses.replace(
+            reply, upstream_id="a", upstream_started_ms=1, is_leaving=True
+        )
+
+        async def script(host: str, _: messages.CallRequest) -> Reply:
+            return leaving if host == entry("a").host else answered()
+
+        setup = SenderSetup(script)
+        for _ in range(30):
+            await setup.send()
+            await asyncio.sleep(0.1)
+        assert setup.peers.calls.count(entry("a").host) == 1
+        # The store tells something else of the same incarnation.
+        setup.published.announce(entry("a", cold_left_s=0.5))
+        for _ in range(30):
+            await setup.send()
+            await asyncio.sleep(0.1)
+        assert setup.peers.calls.count(entry("a").host) == 1
+
+    run(test)
--- a/magnoliafork/tests/mesh/test_upstream_table.py
+++ b/magnoliafork/tests/mesh/test_upstream_table.py
@@ -154,3 +154,29 @@
     published.announce(entry("a", host="10.0.0.9", started_unix_ms=1))
     published.announce(entry("b", host="10.0.0.9", started_unix_ms=2))
     assert ids(table) == ["b"]
+
+
+def test_upstream_that_states_to_leave_gets_requests_until_it_is_removed() -> (
+    None
+):
+    """Requests failed at an upstream that stopped before its entry changed."""
+    published, table, _ = make()
+    published.announce(entry("a"))
+    changes = table.change_count
+    table.record_leaving("a", 1)
+    assert ids(table) == []
+    # Candidates are cached until the count changes.
+    assert table.change_count > changes
+    # The store may publish the entry again, with another state.
+    published.announce(entry("a", cold_left_s=1.0))
+    assert ids(table) == []
+
+
+def test_leaving_ends_with_the_incarnation() -> None:
+    """An upstream that restarts under its id would get no requests."""
+    published, table, _ = make()
+    published.announce(entry("a"))
+    table.record_leaving("a", 1)
+    published.announce(entry("a", started_unix_ms=2))
+    assert ids(table) == ["a"]
+    assert not table.is_leaving(entry("a", started_unix_ms=2))
