Log what the store answers after it was restored

The era of the store is parsed from its answers and logged with both events (store_history_gone, store_read_ignored); store_reads_total counts the reads. Nothing acts on the era yet.

--- a/magnoliafork/mesh/metrics.py
+++ b/magnoliafork/mesh/metrics.py
@@ -22,6 +22,7 @@
     unlabelled = {
         "config_version": config.version if config is not None else 0,
         "view_revision": node.view.revision,
+        "store_reads_total": node.reader.call_count,
         "is_reader": int(node.view_sync.is_reader),
         "view_lag_seconds": node.view_sync.lag_s,
         "view_sent_bytes_total": node.view_sync.encoder.sent_bytes,
--- a/magnoliafork/mesh/published_store.py
+++ b/magnoliafork/mesh/published_store.py
@@ -8,7 +8,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HistoryGone:
-    """The store no longer has the changes after the requested revision."""
+    """The store no longer has the changes after the requested revision.
+
+    Attributes:
+        era: Era of the store that answered.
+    """
+
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/magnoliafork/mesh/store_reader.py
+++ b/magnoliafork/mesh/store_reader.py
@@ -64,6 +64,7 @@
         self._is_store_unavailable = False
         self._failing_since_s = 0.0
         self._needs_full_read = False
+        self.call_count = 0
 
     async def run(self) -> None:
         """Reads until it is cancelled."""
@@ -76,20 +77,34 @@
                 await asyncio.sleep(READER_CHECK_INTERVAL_S)
 
     async def _read_all(self) -> None:
+        self.call_count += 1
         result = await self._store.read_all()
         if isinstance(result, StoreUnavailable):
             await self._on_failure(result.detail)
             return
         self._on_success()
         self._needs_full_read = False
+        if result.revision < self._view.revision:
+            self._log.warning(
+                Event.STORE_READ_IGNORED,
+                era=result.era,
+                revision=result.revision,
+                view_revision=self._view.revision,
+            )
         self._view.apply(result)
 
     async def _watch(self) -> None:
         # After a failure, an answer shows at once that the store is available.
         can_wait = self._view_sync.is_reader and not self._is_store_unavailable
         wait_s = WATCH_WAIT_S if can_wait else 0.0
+        self.call_count += 1
         result = await self._store.watch(self._view.revision, wait_s)
         if isinstance(result, HistoryGone):
+            self._log.warning(
+                Event.STORE_HISTORY_GONE,
+                era=result.era,
+                view_revision=self._view.revision,
+            )
             self._needs_full_read = True
             return
         if isinstance(result, StoreUnavailable):
--- a/magnoliafork/mesh/view.py
+++ b/magnoliafork/mesh/view.py
@@ -52,11 +52,13 @@
             items are the whole state.
         revision: Revision of the view afterwards.
         items: Changed items; removed ones have an empty value.
+        era: Era of the store that both revisions belong to.
     """
 
     base_revision: int
     revision: int
     items: tuple[StoredItem, ...]
+    era: int = 0
 
 
 class MeshView:
--- a/magnoliafork/observe/events.py
+++ b/magnoliafork/observe/events.py
@@ -40,6 +40,8 @@
     LOG_LEVEL_CHANGED = "log_level_changed"
     STORE_UNAVAILABLE = "store_unavailable"
     STORE_AVAILABLE = "store_available"
+    STORE_HISTORY_GONE = "store_history_gone"
+    STORE_READ_IGNORED = "store_read_ignored"
     READING_CHANGED = "reading_changed"
     ITEM_UNREADABLE = "item_unreadable"
     UPSTREAM_CHANGED = "upstream_changed"
--- a/magnoliafork/platform/names.py
+++ b/magnoliafork/platform/names.py
@@ -19,3 +19,5 @@
 # Requests per second that a server takes from all machines together.
 SERVER_LIMIT = "Server-Limit"
 SERVER_LEAVING = "Server-Leaving"
+# Rises by one each time the store comes back from an older copy.
+STORE_ERA = "Store-Era"
--- a/magnoliafork/platform/store.py
+++ b/magnoliafork/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import binascii
+import dataclasses
 import json
 from typing import Any
 
@@ -29,6 +30,19 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """An answer of the store.
+
+    Attributes:
+        era: Era of the store.
+        body: Decoded body.
+    """
+
+    era: int
+    body: dict[str, Any]
+
+
 def watch_timeout_s(wait_s: float) -> float:
     """Returns how long a watch with a wait may take.
 
@@ -58,6 +72,7 @@
         """Reads the whole state, complete up to the returned revision."""
         items: list[StoredItem] = []
         revision = 0
+        era = 0
         after = ""
         while True:
             query = {"prefix": ""}
@@ -67,16 +82,17 @@
             if isinstance(page, (HistoryGone, StoreUnavailable)):
                 return StoreUnavailable(_detail(page))
             try:
-                page_items = [_item(item) for item in page["items"]]
+                page_items = [_item(item) for item in page.body["items"]]
                 # Later pages may be newer. The watch that follows starts at the
                 # revision of the first page and reads those changes again.
-                revision = revision or int(page["as_of"])
-                has_more = bool(page["has_more"])
+                revision = revision or int(page.body["as_of"])
+                has_more = bool(page.body["has_more"])
             except _DECODE_ERRORS as error:
                 return StoreUnavailable(f"malformed page: {error}")
             items += page_items
+            era = page.era
             if not has_more or not page_items:
-                return ViewDelta(0, revision, tuple(items))
+                return ViewDelta(0, revision, tuple(items), era)
             after = page_items[-1].key
 
     async def watch(
@@ -94,27 +110,28 @@
         if isinstance(answer, (HistoryGone, StoreUnavailable)):
             return answer
         try:
-            items = tuple([_item(event) for event in answer["events"]])
-            revision = int(answer["as_of"])
+            items = tuple([_item(event) for event in answer.body["events"]])
+            revision = int(answer.body["as_of"])
         except _DECODE_ERRORS as error:
             return StoreUnavailable(f"malformed events: {error}")
-        return ViewDelta(after_revision, revision, items)
+        return ViewDelta(after_revision, revision, items, answer.era)
 
     async def _get(
         self, path: str, query: dict[str, str], timeout_s: float
-    ) -> dict[str, Any] | HistoryGone | StoreUnavailable:
+    ) -> _Answer | HistoryGone | StoreUnavailable:
         self.call_count += 1
         try:
             async with (
                 asyncio.timeout(timeout_s),
                 self._session.get(self._url + path, params=query) as answer,
             ):
-                if answer.status == _GONE:
-                    return HistoryGone()
-                if answer.status != _OK:
+                if answer.status not in (_OK, _GONE):
                     return StoreUnavailable(f"status {answer.status}")
-                body: dict[str, Any] = json.loads(await answer.read())
-                return body
+                # A store that was never restored may name no era.
+                era = int(answer.headers.get(names.STORE_ERA, "0"))
+                if answer.status == _GONE:
+                    return HistoryGone(era)
+                return _Answer(era, json.loads(await answer.read()))
         except TimeoutError:
             return StoreUnavailable(f"no answer for {timeout_s} s")
         except (aiohttp.ClientError, OSError, ValueError) as error:
