Stop using an expired entry on time, not at the next tick

Callers of a removed upstream could be sent to it for up to a tick (0.1 s) longer than its entry counts after an outage of the store.

Cause: expired entries were dropped by the tick alone. Ruled out: late reports of the outage's end (the failing test has two nodes that know it within 20 ms). Change: both look-ups and the sender drop what is overdue first.

--- a/magnoliafork/mesh/sender.py
+++ b/magnoliafork/mesh/sender.py
@@ -424,6 +424,8 @@
         return entry
 
     def _candidates_of(self, service: str) -> tuple[UpstreamEntry, ...]:
+        # An expired entry may become unusable between two ticks of the node.
+        self._table.tick(self._clock())
         if self._candidates_change_count != self._table.change_count:
             self._candidates.clear()
             self._candidates_change_count = self._table.change_count
--- a/magnoliafork/mesh/upstream_table.py
+++ b/magnoliafork/mesh/upstream_table.py
@@ -92,6 +92,7 @@
         The entry of a crashed upstream stays in the view for a while. It is
         left out once a newer upstream uses its address.
         """
+        self.tick(self._clock())
         zones_out = self._view.zones_out
         known = [
             entry
@@ -130,6 +131,7 @@
 
     def at(self, host: str, port: int) -> UpstreamEntry | None:
         """Returns the entry of an address, even if it expired in an outage."""
+        self.tick(self._clock())
         known = self._view.upstream_at(host, port)
         if known is not None:
             return known
--- a/magnoliafork/tests/mesh/test_sender.py
+++ b/magnoliafork/tests/mesh/test_sender.py
@@ -11,7 +11,10 @@
 
 from magnoliafork.mesh.model import WeightedService
 from magnoliafork.mesh.sender import MeshRequest, MeshSender, RetryLimits
-from magnoliafork.mesh.upstream_table import UpstreamTable
+from magnoliafork.mesh.upstream_table import (
+    REWRITE_WINDOW_S,
+    UpstreamTable,
+)
 from magnoliafork.model.request import (
     Answered,
     NotRun,
@@ -97,12 +100,12 @@
         loop = asyncio.get_running_loop()
         self.latencies: list[tuple[str, float]] = []
         self.published = PublishedState()
-        table = UpstreamTable(self.published.view, loop.time, 2.0)
+        self.table = UpstreamTable(self.published.view, loop.time, 2.0)
         self.peers = FakePeers(script)
         self.sender = MeshSender(
             "joliette",
             self.published.view,
-            table,
+            self.table,
             self.peers,
             limits,
             random.Random(3),
@@ -524,3 +527,18 @@
         assert setup.peers.calls.count(entry("a").host) == 1
 
     run(test)
+
+
+def test_expired_upstream_is_not_chosen_until_the_next_tick() -> None:
+    """Requests reached removed upstreams for up to a tick too long."""
+
+    async def test() -> None:
+        setup = SenderSetup(scripted(answered()))
+        setup.table.record_outage_end(0.0)
+        for name in "abc":
+            setup.published.withdraw(entry(name))
+        assert isinstance(await setup.send(), Answered)
+        await asyncio.sleep(REWRITE_WINDOW_S)
+        assert isinstance(await setup.send(), NotRun)
+
+    run(test)
--- a/magnoliafork/tests/mesh/test_upstream_table.py
+++ b/magnoliafork/tests/mesh/test_upstream_table.py
@@ -92,6 +92,18 @@
     assert ids(table) == []
 
 
+def test_expired_entry_is_not_used_until_the_next_tick() -> None:
+    """Removed upstreams got requests for up to a tick too long."""
+    published, table, clock = make()
+    upstream = entry("a")
+    published.announce(upstream)
+    end_outage(table, clock)
+    published.withdraw(upstream)
+    clock.now_s += REWRITE_WINDOW_S
+    assert ids(table) == []
+    assert table.at(upstream.host, upstream.port) is None
+
+
 def test_expired_entry_that_is_written_again_is_not_listed_twice() -> None:
     """An upstream would get twice its share of requests."""
     published, table, clock = make()
