--- /dev/null
+++ b/magnoliafork/tests/mesh/store_fleet.py
@@ -0,0 +1,270 @@
+"""A simulated fleet whose nodes read one store and follow each other."""
+
+import asyncio
+import io
+import random
+from collections.abc import Awaitable, Callable
+
+from magnoliafork.mesh.published_store import HistoryGone, StoreUnavailable
+from magnoliafork.mesh.reader_selection import rank_hosts, readers_per_zone
+from magnoliafork.mesh.store_reader import StoreReader
+from magnoliafork.mesh.upstream_table import UpstreamTable
+from magnoliafork.mesh.view import MeshView, ViewDelta
+from magnoliafork.mesh.view_sync import ViewSync
+from magnoliafork.observe.logs import EventLog
+from magnoliafork.platform.store import READ_TIMEOUT_S, watch_timeout_s
+from magnoliafork.tests import virtual_time
+from magnoliafork.tests.mesh.builders import PublishedState, config, entry
+from magnoliafork.wire.messages import ControlMessage
+
+DRAIN_TIMEOUT_S = 2.0
+# Longest time until an entry that expired in an outage is written again.
+REWRITE_S = 2.0
+TICK_S = 0.1
+
+
+class Store:
+    """A store that refuses the nodes that a test names."""
+
+    def __init__(self) -> None:
+        self.published = PublishedState()
+        self.deltas: list[ViewDelta] = []
+        self.refused: set[str] = set()
+        self.changed = asyncio.Event()
+
+    def record(self, delta: ViewDelta) -> None:
+        self.deltas.append(delta)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def announce(self, *upstreams: str) -> None:
+        for host in upstreams:
+            upstream = entry(host, host=host, zone=host[0])
+            self.record(self.published.put(f"servers/{host}", upstream))
+
+    def withdraw(self, host: str) -> None:
+        self.record(self.published.remove(f"servers/{host}"))
+
+    def configure(self, version: int) -> None:
+        self.record(self.published.put("config", config(version)))
+
+    def after(self, revision: int) -> ViewDelta:
+        items = [
+            item
+            for delta in self.deltas
+            if delta.revision > revision
+            for item in delta.items
+        ]
+        return ViewDelta(revision, self.published.revision, tuple(items))
+
+
+class Reads:
+    """Reads with a latency and the client's timeouts; `PublishedStore`."""
+
+    def __init__(self, fleet: "Fleet", host: str) -> None:
+        self._fleet = fleet
+        self._host = host
+
+    async def read_all(self) -> ViewDelta | StoreUnavailable:
+        return await self._read(0, 0.0, READ_TIMEOUT_S)
+
+    async def watch(
+        self, after_revision: int, wait_s: float
+    ) -> ViewDelta | HistoryGone | StoreUnavailable:
+        return await self._read(after_revision, wait_s, watch_timeout_s(wait_s))
+
+    async def _read(
+        self, after_revision: int, wait_s: float, timeout_s: float
+    ) -> ViewDelta | StoreUnavailable:
+        try:
+            async with asyncio.timeout(timeout_s):
+                await asyncio.sleep(self._fleet.latency_s / 2)
+                delta = await self._wait(after_revision, wait_s)
+                await asyncio.sleep(self._fleet.latency_s / 2)
+                return delta
+        except TimeoutError:
+            return StoreUnavailable("no answer")
+
+    async def _wait(
+        self, after_revision: int, wait_s: float
+    ) -> ViewDelta | StoreUnavailable:
+        fleet = self._fleet
+        end_s = asyncio.get_running_loop().time() + wait_s
+        cut_count = fleet.cut_count
+        while self._host not in fleet.store.refused:
+            delta = fleet.store.after(after_revision)
+            left_s = end_s - asyncio.get_running_loop().time()
+            if fleet.cut_count != cut_count:
+                return StoreUnavailable("connection reset")
+            if delta.items or left_s <= 0:
+                return delta
+            try:
+                async with asyncio.timeout(min(left_s, 0.02)):
+                    await fleet.store.changed.wait()
+            except TimeoutError:
+                continue
+        return StoreUnavailable("refused")
+
+
+class Node:
+    """The parts of a node that follow the store; implements `ControlLinks`."""
+
+    def __init__(self, fleet: "Fleet", host: str, seed: int) -> None:
+        clock = asyncio.get_running_loop().time
+        log = EventLog("error", io.StringIO())
+        self._fleet = fleet
+        self.host = host
+        self.peers: set[str] = set()
+        self.rng = random.Random(seed)
+        self.view = MeshView(fleet.store.published.item_codec.decode)
+        self.table = UpstreamTable(self.view, clock, DRAIN_TIMEOUT_S)
+        self.view_sync = ViewSync(
+            host, host[0], self.view, self.table, self, clock, log
+        )
+        self.reader = StoreReader(
+            Reads(fleet, host),
+            self.view,
+            self.table,
+            self.view_sync,
+            self.rng,
+            clock,
+            log,
+        )
+        # Time from which each peer gets the next message, in order.
+        self._sent_until_s: dict[str, float] = {}
+        self.paused_until_s = 0.0
+
+    def neighbours(self) -> tuple[str, ...]:
+        return tuple(sorted(self.peers))
+
+    def send(self, instance_id: str, message: ControlMessage) -> bool:
+        loop = asyncio.get_running_loop()
+        low_s, high_s = self._fleet.link_delay_s
+        if self._fleet.slow_host in (self.host, instance_id):
+            low_s = high_s = self._fleet.slow_host_delay_s
+        at_s = max(
+            loop.time() + self.rng.uniform(low_s, high_s),
+            self._sent_until_s.get(instance_id, 0.0) + 1e-6,
+        )
+        self._sent_until_s[instance_id] = at_s
+        loop.call_at(at_s, self._deliver, instance_id, message)
+        return True
+
+    def _deliver(self, instance_id: str, message: ControlMessage) -> None:
+        target = self._fleet.nodes[instance_id]
+        if self.host in self._fleet.dead or instance_id in self._fleet.dead:
+            return
+        loop = asyncio.get_running_loop()
+        if loop.time() < target.paused_until_s:
+            loop.call_at(
+                target.paused_until_s, self._deliver, instance_id, message
+            )
+            return
+        target.view_sync.on_control(self.host, message)
+
+    def set_targets(self, instance_ids: tuple[str, ...]) -> None:
+        for other in instance_ids:
+            if other not in self._fleet.dead and other != self.host:
+                self.peers.add(other)
+                self._fleet.nodes[other].peers.add(self.host)
+
+    async def run(self) -> None:
+        await asyncio.sleep(self.rng.random())
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.tick())
+            group.create_task(self.reader.run())
+
+    async def tick(self) -> None:
+        loop = asyncio.get_running_loop()
+        while self.host not in self._fleet.dead:
+            if loop.time() >= self.paused_until_s:
+                self.table.tick(loop.time())
+                self.view_sync.tick()
+            late_s = self.rng.uniform(0.0, self._fleet.tick_delay_s)
+            await asyncio.sleep(TICK_S + late_s)
+
+
+class Fleet:
+    """Nodes that read one store; the first letter of a host is its zone."""
+
+    def __init__(self, hosts: tuple[str, ...], seed: int) -> None:
+        self.hosts = hosts
+        self.store = Store()
+        self.latency_s = 0.004
+        self.link_delay_s = (0.0005, 0.005)
+        self.tick_delay_s = 0.01
+        self.slow_host = ""
+        self.slow_host_delay_s = 0.0
+        self.cut_count = 0
+        self.dead: set[str] = set()
+        self.store.configure(1)
+        self.store.announce(*hosts)
+        self.nodes = {
+            host: Node(self, host, seed * len(hosts) + number)
+            for number, host in enumerate(hosts)
+        }
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.warm_at_s = 0.0
+
+    def default_readers(self) -> list[str]:
+        found: list[str] = []
+        first = self.nodes[self.hosts[0]]
+        for zone in sorted({host[0] for host in self.hosts}):
+            hosts = {host for host in self.hosts if host[0] == zone}
+            count = readers_per_zone(first.view_sync._fleet)
+            found += rank_hosts(zone, hosts)[:count]
+        return found
+
+    def kill(self, *hosts: str) -> None:
+        self.dead |= set(hosts)
+        for host in hosts:
+            self.tasks[host].cancel()
+        for node in self.live():
+            for host in sorted(node.peers & self.dead):
+                node.peers.discard(host)
+                node.view_sync.on_link_down(host)
+
+    def restart(self, host: str, peer: str, seed: int) -> Node:
+        """Starts a killed node, which is called by one peer."""
+        self.dead.discard(host)
+        node = self.nodes[host] = Node(self, host, seed)
+        self.nodes[peer].peers.add(host)
+        node.peers.add(peer)
+        node.view_sync.add_bootstrap_peer(peer)
+        self.tasks[host] = asyncio.create_task(node.run())
+        return node
+
+    def live(self) -> list[Node]:
+        return [n for h, n in self.nodes.items() if h not in self.dead]
+
+    def users_of(self, host: str) -> list[str]:
+        """Returns the live nodes that may send requests to an upstream."""
+        return [
+            node.host
+            for node in self.live()
+            if any(e.host == host for e in node.table.of_service("catalogue"))
+        ]
+
+
+def run(
+    test: Callable[[Fleet], Awaitable[None]],
+    seed: int,
+    hosts: tuple[str, ...],
+) -> None:
+    """Runs a test on a fleet whose nodes have read the store."""
+
+    async def main() -> None:
+        fleet = Fleet(hosts, seed)
+        for host, node in fleet.nodes.items():
+            fleet.tasks[host] = asyncio.create_task(node.run())
+        await asyncio.sleep(10 + seed / 4)
+        assert sorted(fleet.users_of("x1")) == sorted(hosts)
+        fleet.warm_at_s = asyncio.get_running_loop().time()
+        try:
+            await test(fleet)
+        finally:
+            for task in fleet.tasks.values():
+                task.cancel()
+            await asyncio.gather(*fleet.tasks.values(), return_exceptions=True)
+
+    virtual_time.run(main())
--- a/magnoliafork/tests/mesh/test_outage_recognition.py
+++ b/magnoliafork/tests/mesh/test_outage_recognition.py
@@ -1,224 +1,23 @@
 """Nodes recognise outages of the store, and nothing else as one."""
 
 import asyncio
-import io
-import random
 from collections.abc import Awaitable, Callable
 
 import pytest
 
-from magnoliafork.mesh.published_store import HistoryGone, StoreUnavailable
-from magnoliafork.mesh.reader_selection import rank_hosts, readers_per_zone
-from magnoliafork.mesh.store_reader import StoreReader
-from magnoliafork.mesh.upstream_table import UpstreamTable
-from magnoliafork.mesh.view import MeshView, ViewDelta
-from magnoliafork.mesh.view_sync import ViewSync
-from magnoliafork.observe.logs import EventLog
-from magnoliafork.platform.store import READ_TIMEOUT_S, watch_timeout_s
-from magnoliafork.tests import virtual_time
-from magnoliafork.tests.mesh.builders import config
-from magnoliafork.tests.mesh.test_store_reader import Store
-from magnoliafork.wire.messages import ControlMessage
-
-DRAIN_TIMEOUT_S = 2.0
-REWRITE_S = 2.0
-TICK_S = 0.1
+from magnoliafork.tests.mesh import store_fleet
+from magnoliafork.tests.mesh.store_fleet import (
+    DRAIN_TIMEOUT_S,
+    REWRITE_S,
+    Fleet,
+)
+
 HOSTS = tuple(f"{zone}{number}" for zone in "xyz" for number in range(4))
 seeds = pytest.mark.parametrize("seed", range(2))
 
 
-class Reads:
-    """Reads with a latency and the client's timeouts; `PublishedStore`."""
-
-    def __init__(self, fleet: "Fleet", host: str) -> None:
-        self._fleet = fleet
-        self._host = host
-
-    async def read_all(self) -> ViewDelta | StoreUnavailable:
-        return await self._read(0, 0.0, READ_TIMEOUT_S)
-
-    async def watch(
-        self, after_revision: int, wait_s: float
-    ) -> ViewDelta | HistoryGone | StoreUnavailable:
-        return await self._read(after_revision, wait_s, watch_timeout_s(wait_s))
-
-    async def _read(
-        self, after_revision: int, wait_s: float, timeout_s: float
-    ) -> ViewDelta | StoreUnavailable:
-        try:
-            async with asyncio.timeout(timeout_s):
-                await asyncio.sleep(self._fleet.latency_s / 2)
-                delta = await self._wait(after_revision, wait_s)
-                await asyncio.sleep(self._fleet.latency_s / 2)
-                return delta
-        except TimeoutError:
-            return StoreUnavailable("no answer")
-
-    async def _wait(
-        self, after_revision: int, wait_s: float
-    ) -> ViewDelta | StoreUnavailable:
-        fleet = self._fleet
-        end_s = asyncio.get_running_loop().time() + wait_s
-        cut_count = fleet.cut_count
-        while self._host not in fleet.store.refused:
-            delta = fleet.store.after(after_revision)
-            left_s = end_s - asyncio.get_running_loop().time()
-            if fleet.cut_count != cut_count:
-                return StoreUnavailable("connection reset")
-            if delta.items or left_s <= 0:
-                return delta
-            try:
-                async with asyncio.timeout(min(left_s, 0.02)):
-                    await fleet.store.changed.wait()
-            except TimeoutError:
-                continue
-        return StoreUnavailable("refused")
-
-
-class Node:
-    """The parts of a node that follow the store; implements `ControlLinks`."""
-
-    def __init__(self, fleet: "Fleet", host: str, seed: int) -> None:
-        clock = asyncio.get_running_loop().time
-        log = EventLog("error", io.StringIO())
-        self._fleet = fleet
-        self.host = host
-        self.peers: set[str] = set()
-        self.rng = random.Random(seed)
-        self.view = MeshView(fleet.store.published.item_codec.decode)
-        self.table = UpstreamTable(self.view, clock, DRAIN_TIMEOUT_S)
-        self.view_sync = ViewSync(
-            host, host[0], self.view, self.table, self, clock, log
-        )
-        self.reader = StoreReader(
-            Reads(fleet, host),
-            self.view,
-            self.table,
-            self.view_sync,
-            self.rng,
-            clock,
-            log,
-        )
-        # Time from which each peer gets the next message, in order.
-        self._sent_until_s: dict[str, float] = {}
-        self.paused_until_s = 0.0
-
-    def neighbours(self) -> tuple[str, ...]:
-        return tuple(sorted(self.peers))
-
-    def send(self, instance_id: str, message: ControlMessage) -> bool:
-        loop = asyncio.get_running_loop()
-        low_s, high_s = self._fleet.link_delay_s
-        if self._fleet.slow_host in (self.host, instance_id):
-            low_s = high_s = self._fleet.slow_host_delay_s
-        at_s = max(
-            loop.time() + self.rng.uniform(low_s, high_s),
-            self._sent_until_s.get(instance_id, 0.0) + 1e-6,
-        )
-        self._sent_until_s[instance_id] = at_s
-        loop.call_at(at_s, self._deliver, instance_id, message)
-        return True
-
-    def _deliver(self, instance_id: str, message: ControlMessage) -> None:
-        target = self._fleet.nodes[instance_id]
-        if self.host in self._fleet.dead or instance_id in self._fleet.dead:
-            return
-        loop = asyncio.get_running_loop()
-        if loop.time() < target.paused_until_s:
-            loop.call_at(
-                target.paused_until_s, self._deliver, instance_id, message
-            )
-            return
-        target.view_sync.on_control(self.host, message)
-
-    def set_targets(self, instance_ids: tuple[str, ...]) -> None:
-        for other in instance_ids:
-            if other not in self._fleet.dead and other != self.host:
-                self.peers.add(other)
-                self._fleet.nodes[other].peers.add(self.host)
-
-    async def run(self) -> None:
-        await asyncio.sleep(self.rng.random())
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self.tick())
-            group.create_task(self.reader.run())
-
-    async def tick(self) -> None:
-        loop = asyncio.get_running_loop()
-        while self.host not in self._fleet.dead:
-            if loop.time() >= self.paused_until_s:
-                self.table.tick(loop.time())
-                self.view_sync.tick()
-            late_s = self.rng.uniform(0.0, self._fleet.tick_delay_s)
-            await asyncio.sleep(TICK_S + late_s)
-
-
-class Fleet:
-    """Nodes of three zones that read one store."""
-
-    def __init__(self, seed: int) -> None:
-        self.store = Store()
-        self.latency_s = 0.004
-        self.link_delay_s = (0.0005, 0.005)
-        self.tick_delay_s = 0.01
-        self.slow_host = ""
-        self.slow_host_delay_s = 0.0
-        self.cut_count = 0
-        self.dead: set[str] = set()
-        self.store.record(self.store.published.put("config", config()))
-        self.store.announce(*HOSTS)
-        self.nodes = {
-            host: Node(self, host, seed * len(HOSTS) + number)
-            for number, host in enumerate(HOSTS)
-        }
-        self.tasks: dict[str, asyncio.Task[None]] = {}
-        self.warm_at_s = 0.0
-
-    def default_readers(self) -> list[str]:
-        found: list[str] = []
-        for zone in "xyz":
-            hosts = {host for host in HOSTS if host[0] == zone}
-            count = readers_per_zone(self.nodes["x0"].view_sync._fleet)
-            found += rank_hosts(zone, hosts)[:count]
-        return found
-
-    def kill(self, *hosts: str) -> None:
-        self.dead |= set(hosts)
-        for host in hosts:
-            self.tasks[host].cancel()
-        for node in self.live():
-            for host in sorted(node.peers & self.dead):
-                node.peers.discard(host)
-                node.view_sync.on_link_down(host)
-
-    def live(self) -> list[Node]:
-        return [n for h, n in self.nodes.items() if h not in self.dead]
-
-    def users_of(self, host: str) -> list[str]:
-        """Returns the live nodes that may send requests to an upstream."""
-        return [
-            node.host
-            for node in self.live()
-            if any(e.host == host for e in node.table.of_service("catalogue"))
-        ]
-
-
 def run(test: Callable[[Fleet], Awaitable[None]], seed: int) -> None:
-    async def main() -> None:
-        fleet = Fleet(seed)
-        for host, node in fleet.nodes.items():
-            fleet.tasks[host] = asyncio.create_task(node.run())
-        await asyncio.sleep(10 + seed / 4)
-        assert sorted(fleet.users_of("x1")) == sorted(HOSTS)
-        fleet.warm_at_s = asyncio.get_running_loop().time()
-        try:
-            await test(fleet)
-        finally:
-            for task in fleet.tasks.values():
-                task.cancel()
-            await asyncio.gather(*fleet.tasks.values(), return_exceptions=True)
-
-    virtual_time.run(main())
+    store_fleet.run(test, seed, HOSTS)
 
 
 def outages(fleet: Fleet) -> list[str]:
@@ -294,7 +93,7 @@
     async def test(fleet: Fleet) -> None:
         fleet.latency_s = latency_s
         await asyncio.sleep(15)
-        fleet.store.record(fleet.store.published.put("config", config(2)))
+        fleet.store.configure(2)
         await asyncio.sleep(10)
         configs = [node.view.config for node in fleet.live()]
         assert all(c is not None and c.version == 2 for c in configs)
@@ -430,12 +229,7 @@
         fleet.store.refused = set(HOSTS)
         fleet.kill(host)
         await asyncio.sleep(4)
-        fleet.dead.clear()
-        node = fleet.nodes[host] = Node(fleet, host, seed)
-        fleet.nodes[reading[0]].peers.add(host)
-        node.peers.add(reading[0])
-        node.view_sync.add_bootstrap_peer(reading[0])
-        fleet.tasks[host] = asyncio.create_task(node.run())
+        node = fleet.restart(host, reading[0], seed)
         await asyncio.sleep(5)
         assert node.view.revision
         fleet.store.withdraw("x1")
