Compare revisions of the store only within one era

Cause: a view was named by its revision alone. A restored store goes back and gives revisions out again, so that nodes took its state for an older one: the watch got 410, the whole read was ignored, again and again, until the revision of before was passed, and what got a number up to that one was never applied. Ruled out: a node that refuses the version (no view contained it) and a dead connection (the change at 22.01 s arrived). Class: a number compared outside of the history that it counts. The same held for announcements, requests, replies and patches between nodes, for the cache of encoded values and for watches whose revision was given out again; all carry the era now.

Change: a view moves to a newer era with its whole state. The copy is older than what a node knows: a configuration never goes back, an upstream that drains, has left or has restarted since is told by its own sequence and start, and what the copy lacks counts until the 2.3 s are over in which it is written again. Nodes announce the version of their configuration, so that one that starts after the restore takes a newer one than the copy's from a peer.

--- a/magnoliafork/mesh/metrics.py
+++ b/magnoliafork/mesh/metrics.py
@@ -21,6 +21,7 @@
     config = node.view.config
     unlabelled = {
         "config_version": config.version if config is not None else 0,
+        "view_era": node.view.era,
         "view_revision": node.view.revision,
         "store_reads_total": node.reader.call_count,
         "is_reader": int(node.view_sync.is_reader),
--- a/magnoliafork/mesh/model.py
+++ b/magnoliafork/mesh/model.py
@@ -106,6 +106,7 @@
         is_ready: False while it drains.
         cold_left_s: Remaining cold time when the entry was written.
         started_unix_ms: Unix time of its start in milliseconds, 0 if unknown.
+        sequence: Number of its own writes before this one, from its start on.
     """
 
     upstream_id: str
@@ -117,6 +118,7 @@
     is_ready: bool
     cold_left_s: float
     started_unix_ms: int
+    sequence: int = 0
 
     def is_same_incarnation(self, other: "UpstreamEntry") -> bool:
         """Whether both entries are of one start of one upstream."""
@@ -144,6 +146,21 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class StorePosition:
+    """A state of the store; the higher one is the newer one.
+
+    Attributes:
+        era: Number of the store's history: it rises when the store is restored
+            from an older copy, whose revisions it then gives out again. 0 if
+            the store names none.
+        revision: Revision within that history; 0 before any state is known.
+    """
+
+    era: int = 0
+    revision: int = 0
+
+
 DecodedItem = MeshConfig | UpstreamEntry | ZoneOut | UnreadableItem
 
 
--- a/magnoliafork/mesh/store_reader.py
+++ b/magnoliafork/mesh/store_reader.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 
+from magnoliafork.mesh.model import StorePosition
 from magnoliafork.mesh.published_store import (
     HistoryGone,
     PublishedStore,
@@ -84,11 +85,21 @@
             return
         self._on_success()
         self._needs_full_read = False
-        if result.revision < self._view.revision:
+        position = StorePosition(result.era, result.revision)
+        if position < self._view.position:
             self._log.warning(
                 Event.STORE_READ_IGNORED,
                 era=result.era,
                 revision=result.revision,
+                view_era=self._view.era,
+                view_revision=self._view.revision,
+            )
+        elif self._view.revision and result.era != self._view.era:
+            self._log.warning(
+                Event.STORE_RESTORED,
+                era=result.era,
+                revision=result.revision,
+                view_era=self._view.era,
                 view_revision=self._view.revision,
             )
         self._view.apply(result)
@@ -98,17 +109,21 @@
         can_wait = self._view_sync.is_reader and not self._is_store_unavailable
         wait_s = WATCH_WAIT_S if can_wait else 0.0
         self.call_count += 1
+        era = self._view.era
         result = await self._store.watch(self._view.revision, wait_s)
-        if isinstance(result, HistoryGone):
+        if isinstance(result, StoreUnavailable):
+            await self._on_failure(result.detail)
+            return
+        if isinstance(result, HistoryGone) or result.era != era:
+            # A restored store may already have given the revision out again.
             self._log.warning(
                 Event.STORE_HISTORY_GONE,
                 era=result.era,
+                view_era=era,
                 view_revision=self._view.revision,
             )
-            self._needs_full_read = True
-            return
-        if isinstance(result, StoreUnavailable):
-            await self._on_failure(result.detail)
+            # A peer may have sent the whole state of the new era meanwhile.
+            self._needs_full_read = self._view.era == era
             return
         self._on_success()
         self._view.apply(result)
--- a/magnoliafork/mesh/upstream_table.py
+++ b/magnoliafork/mesh/upstream_table.py
@@ -2,7 +2,8 @@
 
 During an outage of the store, entries of running upstreams may expire. They are
 written again within two seconds after the outage; until then their removal from
-the view does not mean that the upstream is gone.
+the view does not mean that the upstream is gone. The same holds when the store
+was restored from an older copy.
 """
 
 import dataclasses
@@ -70,6 +71,8 @@
         )
         self._expired: dict[str, _ExpiredEntry] = {}
         self._outage_ended_at_s = clock() - MAX_OUTAGE_AGE_S
+        self._era = view.era
+        self._restored_at_s: float | None = None
         # Start of the incarnation that is leaving, by upstream id.
         self._leaving: dict[str, int] = {}
         self.change_count = 0
@@ -86,6 +89,28 @@
         """Returns the time since the last outage ended, at most an hour."""
         return min(self._clock() - self._outage_ended_at_s, MAX_OUTAGE_AGE_S)
 
+    def record_restore(self, era: int, ago_s: float) -> None:
+        """Records that the store was restored to an era some time ago.
+
+        The earliest report of an era counts: others learn of it later.
+        """
+        restored_at_s = self._clock() - ago_s
+        if era > self._era:
+            self._era, self._restored_at_s = era, restored_at_s
+        elif era == self._era and self._restored_at_s is None:
+            self._restored_at_s = restored_at_s
+        elif era == self._era and self._restored_at_s is not None:
+            self._restored_at_s = min(self._restored_at_s, restored_at_s)
+
+    def restored_ago_s(self) -> float | None:
+        """Returns the time since the store was restored to the view's era.
+
+        None if this node has not seen that; at most an hour.
+        """
+        if self._restored_at_s is None or self._era != self._view.era:
+            return None
+        return min(self._clock() - self._restored_at_s, MAX_OUTAGE_AGE_S)
+
     def of_service(self, service: str) -> tuple[UpstreamEntry, ...]:
         """Returns the upstreams of a service that may get work.
 
@@ -141,18 +166,30 @@
         return None
 
     def tick(self, now_s: float) -> None:
-        """Drops expired entries that were not written again in time."""
+        """Drops what was not written again in time, after an outage or restore.
+
+        Applies to expired entries and to what a restored store lacks.
+        """
         for upstream_id, expired in list(self._expired.items()):
             if now_s >= expired.usable_until_s:
                 del self._expired[upstream_id]
                 self.change_count += 1
+        restored_at_s = self._restored_at_s
+        if self._view.has_carried and (
+            restored_at_s is None or now_s >= restored_at_s + REWRITE_WINDOW_S
+        ):
+            self._view.drop_carried()
 
     def _on_changes(self, changes: Sequence[Change]) -> None:
         now_s = self._clock()
-        may_have_expired = (
-            now_s < self._outage_ended_at_s + OUTAGE_EFFECT_WINDOW_S
-        )
-        usable_until_s = self._outage_ended_at_s + self._use_s
+        if self._view.is_restored and self._view.era > self._era:
+            self.record_restore(self._view.era, 0.0)
+        self._era = max(self._era, self._view.era)
+        returned_at_s = self._outage_ended_at_s
+        if self._restored_at_s is not None:
+            returned_at_s = max(returned_at_s, self._restored_at_s)
+        may_have_expired = now_s < returned_at_s + OUTAGE_EFFECT_WINDOW_S
+        usable_until_s = returned_at_s + self._use_s
         for change in changes:
             before, after = change.before, change.after
             if isinstance(after, UpstreamEntry):
--- a/magnoliafork/mesh/view.py
+++ b/magnoliafork/mesh/view.py
@@ -4,6 +4,10 @@
 state at one revision, so the view with the higher revision is the newer one.
 Merging the views of peers needs no other rule, and no peer can return a node
 to an older configuration.
+
+A store that is restored from an older copy begins a new era, in which it gives
+out revisions again. Revisions of different eras are never compared: a view
+moves to a newer era with its whole state, and keeps what it knows better.
 """
 
 import collections
@@ -14,10 +18,12 @@
     DecodedItem,
     MeshConfig,
     StoredItem,
+    StorePosition,
     UnreadableItem,
     UpstreamEntry,
     ZoneOut,
 )
+from magnoliafork.mesh.restored_state import is_older, is_removed
 
 # Changes kept for peers that lag behind; at fewer than one change per second
 # they cover an hour.
@@ -26,6 +32,8 @@
 # changed. Patches of smaller values would save little.
 MIN_HISTORY_VALUE_BYTES = 4096
 MAX_HISTORY_VALUES = 8
+# Removed entries that are remembered; the oldest are dropped.
+MAX_REMOVED = 4096
 
 Decode = Callable[[StoredItem], DecodedItem | None]
 
@@ -62,7 +70,16 @@
 
 
 class MeshView:
-    """Items of the store with their decoded values and indexes."""
+    """Items of the store with their decoded values and indexes.
+
+    Attributes:
+        era: Era of the store that the view is of.
+        is_restored: Whether the view has moved to this era from an earlier one.
+        revision: Revision of the view within its era; 0 while it is empty.
+        change_count: Number of applied deltas with changes.
+        config: Newest configuration that was ever known, or None.
+        config_revision: Revision of its item.
+    """
 
     def __init__(self, decode: Decode) -> None:
         """Creates an empty view.
@@ -77,6 +94,12 @@
         self._log: collections.deque[tuple[str, int]] = collections.deque()
         self._log_base = 0
         self._history: dict[str, collections.deque[StoredItem]] = {}
+        # Items of the earlier era that the restored store lacks.
+        self._carried_keys: set[str] = set()
+        # Last entries of removed upstreams by key, and when they were removed.
+        self._removed: dict[str, tuple[int, UpstreamEntry]] = {}
+        self.era = 0
+        self.is_restored = False
         self.revision = 0
         self.change_count = 0
         self.config: MeshConfig | None = None
@@ -87,6 +110,21 @@
         self._upstreams: dict[str, UpstreamEntry] = {}
         self._by_address: dict[tuple[str, int], UpstreamEntry] = {}
 
+    @property
+    def position(self) -> StorePosition:
+        """State of the store that the view has reached."""
+        return StorePosition(self.era, self.revision)
+
+    @property
+    def config_version(self) -> int:
+        """Version of the configuration, or 0."""
+        return self.config.version if self.config is not None else 0
+
+    @property
+    def has_carried(self) -> bool:
+        """Whether the view has items that the restored store lacks."""
+        return bool(self._carried_keys)
+
     @property
     def zones_out(self) -> frozenset[str]:
         """Availability zones that receive no new requests."""
@@ -113,27 +151,68 @@
         """Applies a delta; one that is not newer than the view has no effect.
 
         Returns:
-            False if the delta starts at a revision that this view has not
+            False if the delta starts at a state that this view has not
             reached; the view is then unchanged.
         """
-        if delta.revision <= self.revision:
+        position = StorePosition(delta.era, delta.revision)
+        if position <= self.position:
             return True
-        if delta.base_revision > self.revision:
+        is_new_era = bool(self.revision) and delta.era != self.era
+        if delta.base_revision and (
+            is_new_era or delta.base_revision > self.revision
+        ):
             return False
-        if delta.base_revision == 0:
+        if is_new_era:
+            changes = self._restore(delta)
+            self.is_restored = True
+        elif delta.base_revision == 0:
             changes = self._replace(delta.items)
-            self._log.clear()
-            self._log_base = delta.revision
         else:
             changes = self._merge(delta.items)
-        self.revision = delta.revision
-        if changes:
-            self._rebuild_indexes()
-            self.change_count += 1
-            for notify in self._subscribers:
-                notify(changes)
+        if delta.base_revision == 0:
+            self._log.clear()
+            self._log_base = delta.revision
+        self.era, self.revision = delta.era, delta.revision
+        if changes or is_new_era:
+            self._notify(changes)
         return True
 
+    def adopt_config(self, items: Iterable[StoredItem]) -> None:
+        """Takes over a newer configuration from the whole state of a peer.
+
+        The peer may know it from before the store was restored.
+        """
+        changes = []
+        for item in items:
+            known, decoded = (
+                self._items.get(item.key),
+                self._decoded.get(item.key),
+            )
+            if known is None or not isinstance(decoded, MeshConfig):
+                continue
+            newer = self._decode(item)
+            if is_older(decoded, newer):
+                item = dataclasses.replace(item, revision=known.revision)
+                changes.append(self._put(item, newer))
+        if changes:
+            self._notify(changes)
+
+    def drop_carried(self) -> None:
+        """Drops the items that were not written again after a restore."""
+        keys, self._carried_keys = self._carried_keys, set()
+        self._notify(
+            [
+                self._set(StoredItem(key, self.revision, b""))
+                for key in sorted(keys)
+            ]
+        )
+
+    def _notify(self, changes: Sequence[Change]) -> None:
+        self._rebuild_indexes()
+        self.change_count += 1
+        for notify in self._subscribers:
+            notify(changes)
+
     def delta_after(self, revision: int) -> ViewDelta:
         """Returns the changes after a revision.
 
@@ -145,8 +224,13 @@
                 self._items.get(key) or StoredItem(key, at, b"")
                 for key, at in newest.items()
             ]
-            return ViewDelta(revision, self.revision, tuple(items))
-        return ViewDelta(0, self.revision, tuple(self._items.values()))
+            return ViewDelta(revision, self.revision, tuple(items), self.era)
+        present = tuple(
+            item
+            for key, item in self._items.items()
+            if key not in self._carried_keys
+        )
+        return ViewDelta(0, self.revision, present, self.era)
 
     def value_at(self, key: str, revision: int) -> StoredItem | None:
         """Returns a large item as it was at a revision, if that is kept."""
@@ -177,28 +261,85 @@
         changes = [
             self._set(StoredItem(key, self.revision, b""))
             for key in list(self._items)
-            if key not in fresh
+            if key not in fresh and key not in self._carried_keys
         ]
         for item in fresh.values():
             current = self._items.get(item.key)
+            removed_at, _ = self._removed.get(item.key, (0, None))
+            if removed_at >= item.revision:
+                continue
             if current is None or current.revision < item.revision:
                 changes.append(self._set(item))
         return changes
 
+    def _restore(self, delta: ViewDelta) -> list[Change]:
+        """Moves to the state of a restored store.
+
+        Items that the copy lacks are carried until they have had time to be
+        written again. Newer values are kept under the revisions of the copy, so
+        that everything written to the restored store replaces them.
+        """
+        fresh = {item.key: item for item in delta.items}
+        self._history.clear()
+        self._removed = {
+            key: (0, entry) for key, (_, entry) in self._removed.items()
+        }
+        self._carried_keys = {
+            key
+            for key in self._items
+            if key not in fresh
+            and not isinstance(self._decoded.get(key), MeshConfig)
+        }
+        for key in self._items.keys() - fresh.keys():
+            item = self._items[key]
+            self._items[key] = dataclasses.replace(item, revision=0)
+        changes = []
+        for key, item in fresh.items():
+            known, known_decoded = self._items.get(key), self._decoded.get(key)
+            is_unchanged = known is not None and known.value == item.value
+            decoded = known_decoded if is_unchanged else self._decode(item)
+            _, removed_entry = self._removed.get(key, (0, None))
+            if removed_entry is not None and is_removed(decoded, removed_entry):
+                self._removed[key] = (item.revision, removed_entry)
+                continue
+            if known is not None and is_older(decoded, known_decoded):
+                item = dataclasses.replace(known, revision=item.revision)
+                decoded = known_decoded
+            changes.append(self._put(item, decoded))
+        return [c for c in changes if c.before != c.after]
+
     def _set(self, item: StoredItem) -> Change:
+        return self._put(item, self._decode(item) if item.value else None)
+
+    def _put(self, item: StoredItem, after: DecodedItem | None) -> Change:
         before = self._decoded.pop(item.key, None)
-        after = None
+        if isinstance(before, MeshConfig) and is_older(after, before):
+            # Operators may write the versions after a restore one by one.
+            known = self._items[item.key]
+            item = dataclasses.replace(known, revision=item.revision)
+            after = before
+        self._carried_keys.discard(item.key)
         if item.value:
+            self._removed.pop(item.key, None)
             self._items[item.key] = item
             self._add_to_history(item)
-            after = self._decode(item)
         else:
             self._items.pop(item.key, None)
             self._history.pop(item.key, None)
+            self._record_removed(item, before)
         if after is not None:
             self._decoded[item.key] = after
         return Change(item.key, item.revision, before, after)
 
+    def _record_removed(
+        self, item: StoredItem, before: DecodedItem | None
+    ) -> None:
+        if not isinstance(before, UpstreamEntry):
+            return
+        self._removed[item.key] = (item.revision, before)
+        if len(self._removed) > MAX_REMOVED:
+            del self._removed[next(iter(self._removed))]
+
     def _add_to_history(self, item: StoredItem) -> None:
         if len(item.value) >= MIN_HISTORY_VALUE_BYTES:
             self._history.setdefault(
@@ -231,6 +372,7 @@
                 continue
             if self.config is None or decoded.version > self.config.version:
                 self.config = decoded
+            if decoded.version == self.config.version:
                 self.config_revision = self._items[key].revision
 
 
--- a/magnoliafork/mesh/view_codec.py
+++ b/magnoliafork/mesh/view_codec.py
@@ -22,20 +22,28 @@
     def __init__(self, view: MeshView) -> None:
         """Creates an encoder of the changes of a view."""
         self._view = view
-        self._cache: collections.OrderedDict[tuple[str, int, int], bytes] = (
-            collections.OrderedDict()
-        )
+        # By key, era, revision of the value and of the value patched.
+        self._cache: collections.OrderedDict[
+            tuple[str, int, int, int], bytes
+        ] = collections.OrderedDict()
         self.sent_bytes = 0
 
     def reply(self, request: messages.ViewRequest) -> messages.ViewReply:
-        """Returns everything that changed after the requested revision."""
-        delta = self._view.delta_after(request.after_revision)
+        """Returns everything that changed after the requested revision.
+
+        A revision of another era says nothing about this one; the reply is then
+        the whole state.
+        """
+        after_revision = request.after_revision
+        if request.era != self._view.era:
+            after_revision = 0
+        delta = self._view.delta_after(after_revision)
         values: list[bytes] = []
         patched_revisions: list[int] = []
         for item in delta.items:
             base: StoredItem | None = None
             if request.accepts_patches and item.value and delta.base_revision:
-                base = self._view.value_at(item.key, request.after_revision)
+                base = self._view.value_at(item.key, after_revision)
             values.append(self._encoded(item, base))
             patched_revisions.append(base.revision if base is not None else 0)
         self.sent_bytes += sum(len(value) for value in values)
@@ -46,12 +54,14 @@
             tuple([item.revision for item in delta.items]),
             tuple(values),
             tuple(patched_revisions) if any(patched_revisions) else (),
+            delta.era,
         )
 
     def _encoded(self, item: StoredItem, base: StoredItem | None) -> bytes:
         if not item.value:
             return b""
-        key = (item.key, item.revision, base.revision if base else 0)
+        base_revision = base.revision if base is not None else 0
+        key = (item.key, self._view.era, item.revision, base_revision)
         encoded = self._cache.pop(key, None)
         if encoded is None:
             content = item.value
@@ -65,7 +75,10 @@
 
 
 def decode_reply(reply: messages.ViewReply, view: MeshView) -> ViewDelta | str:
-    """Returns the delta of a message, or why it cannot be used."""
+    """Returns the delta of a message, or why it cannot be used.
+
+    A patch of another era than the view's does not apply to its values.
+    """
     patched_revisions = reply.patched_revisions or (0,) * len(reply.keys)
     fields = (reply.revisions, reply.values, patched_revisions)
     if any(len(field) != len(reply.keys) for field in fields):
@@ -78,6 +91,8 @@
             content = zlib.decompress(value) if value else b""
         except zlib.error as error:
             return f"value cannot be inflated: {error}"
+        if patched_revision and reply.era != view.era:
+            return f"{key} is a patch of another era"
         if patched_revision:
             base = view.value_at(key, patched_revision)
             if base is None or base.revision != patched_revision:
@@ -87,4 +102,6 @@
                 return f"patch of {key} does not fit"
             content = patched
         items.append(StoredItem(key, revision, content))
-    return ViewDelta(reply.base_revision, reply.revision, tuple(items))
+    return ViewDelta(
+        reply.base_revision, reply.revision, tuple(items), reply.era
+    )
--- a/magnoliafork/mesh/view_sync.py
+++ b/magnoliafork/mesh/view_sync.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from magnoliafork.mesh import reader_selection
+from magnoliafork.mesh.model import StorePosition
 from magnoliafork.mesh.upstream_table import UpstreamTable
 from magnoliafork.mesh.view import MeshView
 from magnoliafork.mesh.view_codec import ViewEncoder, decode_reply
@@ -47,7 +48,8 @@
 class _Peer:
     """Last announcement of a neighbour and when it was received."""
 
-    revision: int = 0
+    position: StorePosition = StorePosition()
+    config_version: int = 0
     store_answer_at_s: float = float("-inf")
     received_at_s: float = float("-inf")
 
@@ -265,12 +267,19 @@
             self._view_fresh_at_s = self.last_store_answer_s
             self._view_reader = self._own_host
         view_age_s = now_s - self._view_fresh_at_s
+        restored_ago_s = self._table.restored_ago_s()
+        era_age_ms = 0
+        if restored_ago_s is not None:
+            era_age_ms = max(1, int(restored_ago_s * 1000))
         return messages.ViewAnnounce(
             self._view.revision,
             age_ms,
             int(self._table.outage_ended_ago_s() * 1000),
             max(1, int(min(view_age_s * 1000, NO_STORE_ACCESS_MS))),
             self._view_reader,
+            self._view.era,
+            era_age_ms,
+            self._view.config_version,
         )
 
     def _known_fleet(self) -> reader_selection.Fleet:
@@ -308,19 +317,41 @@
         peer.received_at_s = now_s
         match message:
             case messages.ViewAnnounce():
-                peer.revision = message.revision
+                peer.position = self._position_of(message)
+                peer.config_version = message.config_version
                 peer.store_answer_at_s = now_s - message.source_age_ms / 1000
                 self._note_answer_to_peer(peer.store_answer_at_s)
                 self._table.record_outage_end(message.outage_ended_ms / 1000)
+                if message.era_age_ms:
+                    self._table.record_restore(
+                        message.era, message.era_age_ms / 1000
+                    )
                 self._record_view_age(message, now_s)
                 self._catch_up(now_s)
             case messages.ViewRequest():
-                self._links.send(instance_id, self.encoder.reply(message))
+                era = self._era_of(message.era)
+                request = dataclasses.replace(message, era=era)
+                self._links.send(instance_id, self.encoder.reply(request))
             case messages.ViewReply():
-                self._on_reply(instance_id, message)
+                era = self._era_of(message.era)
+                reply = dataclasses.replace(message, era=era)
+                self._on_reply(instance_id, reply)
             case _:
                 pass
 
+    def _era_of(self, told_era: int) -> int:
+        """Returns the era that a message is of.
+
+        An earlier release tells none. It may be of any era, which matters once
+        the view has moved to another one.
+        """
+        if told_era or self._view.is_restored:
+            return told_era
+        return self._view.era
+
+    def _position_of(self, announce: messages.ViewAnnounce) -> StorePosition:
+        return StorePosition(self._era_of(announce.era), announce.revision)
+
     def _record_view_age(
         self, message: messages.ViewAnnounce, now_s: float
     ) -> None:
@@ -337,8 +368,10 @@
     def _on_reply(self, host: str, reply: messages.ViewReply) -> None:
         if host == self._requested_from:
             self._requested_from = ""
-        if reply.revision <= self._view.revision:
+        if StorePosition(reply.era, reply.revision) <= self._view.position:
             # The earlier value that a late patch needs may not be kept.
+            if not reply.base_revision:
+                self._adopt_config(host, reply)
             self._catch_up(self._clock())
             return
         delta = decode_reply(reply, self._view)
@@ -353,10 +386,22 @@
             self._request(host, 0, accepts_patches=False)
         self._catch_up(self._clock())
 
+    def _adopt_config(self, host: str, reply: messages.ViewReply) -> None:
+        """Takes over a configuration that a peer knows from an earlier era."""
+        delta = decode_reply(reply, self._view)
+        if isinstance(delta, str):
+            self._log.warning(
+                Event.PEER_FRAME_MALFORMED, peer=host, detail=delta
+            )
+            return
+        self._view.adopt_config(delta.items)
+
     def _request(
         self, host: str, after_revision: int, *, accepts_patches: bool
     ) -> None:
-        request = messages.ViewRequest(after_revision, accepts_patches)
+        request = messages.ViewRequest(
+            after_revision, accepts_patches, self._view.era
+        )
         if self._links.send(host, request):
             self._requested_at_s = self._clock()
             self._requested_from = host
@@ -366,7 +411,8 @@
         ahead = {
             host: peer
             for host, peer in self._peers.items()
-            if peer.revision > self._view.revision
+            if peer.position > self._view.position
+            or peer.config_version > self._view.config_version
         }
         if not ahead:
             self._behind_since_s = None
@@ -383,8 +429,12 @@
             others = [h for h in ahead if h != self._requested_from]
             candidates = others or candidates
         if candidates:
-            chosen = max(candidates, key=lambda host: ahead[host].revision)
-            self._request(chosen, self._view.revision, accepts_patches=True)
+            chosen = max(candidates, key=lambda host: ahead[host].position)
+            after_revision = self._view.revision
+            if ahead[chosen].position <= self._view.position:
+                # Only its configuration is newer.
+                after_revision = 0
+            self._request(chosen, after_revision, accepts_patches=True)
 
     def _zone_hosts(self) -> set[str]:
         return set(self._fleet.zones.get(self._own_zone, ()))
--- a/magnoliafork/observe/events.py
+++ b/magnoliafork/observe/events.py
@@ -41,6 +41,7 @@
     STORE_UNAVAILABLE = "store_unavailable"
     STORE_AVAILABLE = "store_available"
     STORE_HISTORY_GONE = "store_history_gone"
+    STORE_RESTORED = "store_restored"
     STORE_READ_IGNORED = "store_read_ignored"
     READING_CHANGED = "reading_changed"
     ITEM_UNREADABLE = "item_unreadable"
--- a/magnoliafork/platform/items.py
+++ b/magnoliafork/platform/items.py
@@ -79,7 +79,7 @@
     state = _string(status["state"], "state")
     if state not in _IS_READY_BY_STATE:
         raise ValueError(f"unknown state {state!r}")
-    _integer(status["sequence"], "sequence")
+    sequence = _integer(status["sequence"], "sequence")
     cold_left_ms = _number(status["cold_left_ms"], "cold_left_ms")
     started_unix_ms = entry.get("born", 0)
     return UpstreamEntry(
@@ -92,6 +92,7 @@
         is_ready=_IS_READY_BY_STATE[state],
         cold_left_s=max(0.0, cold_left_ms / 1000),
         started_unix_ms=_integer(started_unix_ms, "born"),
+        sequence=sequence,
     )
 
 
--- a/magnoliafork/platform/store.py
+++ b/magnoliafork/platform/store.py
@@ -72,7 +72,7 @@
         """Reads the whole state, complete up to the returned revision."""
         items: list[StoredItem] = []
         revision = 0
-        era = 0
+        era: int | None = None
         after = ""
         while True:
             query = {"prefix": ""}
@@ -89,6 +89,8 @@
                 has_more = bool(page.body["has_more"])
             except _DECODE_ERRORS as error:
                 return StoreUnavailable(f"malformed page: {error}")
+            if era is not None and page.era != era:
+                return StoreUnavailable("restored between two pages")
             items += page_items
             era = page.era
             if not has_more or not page_items:
@@ -127,8 +129,7 @@
             ):
                 if answer.status not in (_OK, _GONE):
                     return StoreUnavailable(f"status {answer.status}")
-                # A store that was never restored may name no era.
-                era = int(answer.headers.get(names.STORE_ERA, "0"))
+                era = _era(answer.headers.get(names.STORE_ERA))
                 if answer.status == _GONE:
                     return HistoryGone(era)
                 return _Answer(era, json.loads(await answer.read()))
@@ -138,6 +139,15 @@
             return StoreUnavailable(f"{type(error).__name__}: {error}")
 
 
+def _era(stated: str | None) -> int:
+    """Returns the era of an answer; the first one that can be stated is 1.
+
+    >>> _era(None), _era("0"), _era("3")
+    (0, 1, 4)
+    """
+    return int(stated) + 1 if stated is not None else 0
+
+
 def _item(item: dict[str, Any]) -> StoredItem:
     if item.get("removed"):
         return StoredItem(item["key"], int(item["revision"]), b"")
--- a/magnoliafork/tests/mesh/builders.py
+++ b/magnoliafork/tests/mesh/builders.py
@@ -24,6 +24,9 @@
 
     def item(self, key: str, revision: int, fact: DecodedItem) -> StoredItem:
         value = f"{key}@{revision}".encode()
+        # A restored store gives out revisions again.
+        while self._facts.get(value, fact) != fact:
+            value += b"'"
         self.add(value, fact)
         return StoredItem(key, revision, value)
 
--- a/magnoliafork/tests/mesh/store_fleet.py
+++ b/magnoliafork/tests/mesh/store_fleet.py
@@ -1,6 +1,7 @@
 """A simulated fleet whose nodes read one store and follow each other."""
 
 import asyncio
+import collections
 import io
 import random
 from collections.abc import Awaitable, Callable
@@ -24,22 +25,46 @@
 
 
 class Store:
-    """A store that refuses the nodes that a test names."""
+    """A store that refuses the nodes that a test names.
+
+    Attributes:
+        sequences: Number of writes by upstream.
+    """
 
     def __init__(self) -> None:
         self.published = PublishedState()
         self.deltas: list[ViewDelta] = []
         self.refused: set[str] = set()
+        self.era = 1
+        self.sequences: collections.Counter[str] = collections.Counter()
+        self.call_count = 0
         self.changed = asyncio.Event()
 
     def record(self, delta: ViewDelta) -> None:
         self.deltas.append(delta)
+        self._notify()
+
+    def _notify(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def announce(self, *upstreams: str) -> None:
+    def restore(self, revision: int) -> None:
+        """Goes back to a revision; later ones are given out again."""
+        self.era += 1
+        self.deltas = [d for d in self.deltas if d.revision <= revision]
+        self.published.revision = revision
+        self._notify()
+
+    def announce(self, *upstreams: str, is_ready: bool = True) -> None:
         for host in upstreams:
-            upstream = entry(host, host=host, zone=host[0])
+            self.sequences[host] += 1
+            upstream = entry(
+                host,
+                host=host,
+                zone=host[0],
+                is_ready=is_ready,
+                sequence=self.sequences[host],
+            )
             self.record(self.published.put(f"servers/{host}", upstream))
 
     def withdraw(self, host: str) -> None:
@@ -55,7 +80,12 @@
             if delta.revision > revision
             for item in delta.items
         ]
-        return ViewDelta(revision, self.published.revision, tuple(items))
+        if not revision:
+            newest = {item.key: item for item in items}
+            items = [item for item in newest.values() if item.value]
+        return ViewDelta(
+            revision, self.published.revision, tuple(items), self.era
+        )
 
 
 class Reads:
@@ -66,7 +96,9 @@
         self._host = host
 
     async def read_all(self) -> ViewDelta | StoreUnavailable:
-        return await self._read(0, 0.0, READ_TIMEOUT_S)
+        result = await self._read(0, 0.0, READ_TIMEOUT_S)
+        assert not isinstance(result, HistoryGone)
+        return result
 
     async def watch(
         self, after_revision: int, wait_s: float
@@ -75,7 +107,8 @@
 
     async def _read(
         self, after_revision: int, wait_s: float, timeout_s: float
-    ) -> ViewDelta | StoreUnavailable:
+    ) -> ViewDelta | HistoryGone | StoreUnavailable:
+        self._fleet.store.call_count += 1
         try:
             async with asyncio.timeout(timeout_s):
                 await asyncio.sleep(self._fleet.latency_s / 2)
@@ -87,11 +120,13 @@
 
     async def _wait(
         self, after_revision: int, wait_s: float
-    ) -> ViewDelta | StoreUnavailable:
+    ) -> ViewDelta | HistoryGone | StoreUnavailable:
         fleet = self._fleet
         end_s = asyncio.get_running_loop().time() + wait_s
         cut_count = fleet.cut_count
         while self._host not in fleet.store.refused:
+            if after_revision > fleet.store.published.revision:
+                return HistoryGone(fleet.store.era)
             delta = fleet.store.after(after_revision)
             left_s = end_s - asyncio.get_running_loop().time()
             if fleet.cut_count != cut_count:
--- a/magnoliafork/tests/mesh/test_view_codec.py
+++ b/magnoliafork/tests/mesh/test_view_codec.py
@@ -1,5 +1,6 @@
 """Changes sent as patches give the same view as whole values."""
 
+import dataclasses
 import random
 import tracemalloc
 
@@ -113,3 +114,38 @@
     tracemalloc.stop()
     assert after_bytes - before_bytes < len(value(1))
     assert view.delta_after(1).items[0].value == value(199)
+
+
+def test_patch_of_another_era_is_refused() -> None:
+    """A restored store gives out the revision of another value again."""
+    view = view_with_versions(2)
+    reply = dataclasses.replace(ViewEncoder(view).reply(request(1)), era=1)
+    assert reply.patched_revisions == (1,)
+    assert isinstance(decode_reply(reply, follower_of(view)), str)
+
+
+def test_peer_of_another_era_gets_the_whole_state() -> None:
+    """Its revision is one of another history."""
+    view = view_with_versions(3)
+    whole = (StoredItem("config", 2, value(5)),)
+    view.apply(ViewDelta(0, 2, whole, era=1))
+    put_item = StoredItem("config", 3, value(6))
+    view.apply(ViewDelta(2, 3, (put_item,), era=1))
+    encoder = ViewEncoder(view)
+    reply = encoder.reply(messages.ViewRequest(2, True, era=0))
+    assert reply.base_revision == 0
+    assert reply.patched_revisions == ()
+    assert reply.era == 1
+    same_era = encoder.reply(messages.ViewRequest(2, True, era=1))
+    assert same_era.base_revision == 2
+
+
+def test_encoded_value_of_an_earlier_era_is_not_sent() -> None:
+    """The cache of encoded values is by revision."""
+    view = view_with_versions(3)
+    encoder = ViewEncoder(view)
+    encoder.reply(request(0))
+    view.apply(ViewDelta(0, 3, (StoredItem("config", 3, value(7)),), era=1))
+    delta = decode_reply(encoder.reply(request(0)), MeshView(lambda _: None))
+    assert isinstance(delta, ViewDelta)
+    assert delta.items[0].value == value(7)
--- a/magnoliafork/tests/platform/standins.py
+++ b/magnoliafork/tests/platform/standins.py
@@ -26,6 +26,7 @@
         self._items: dict[str, dict[str, Any]] = {}
         self._events: list[dict[str, Any]] = []
         self._history_start = 0
+        self.era: int | None = 1
         self._changed = asyncio.Event()
         self._is_stopped = False
         self.revision = 100
@@ -77,6 +78,24 @@
         self._history_start = self.revision
         self._notify_watchers()
 
+    def copy_items(self) -> tuple[int, dict[str, dict[str, Any]]]:
+        """Returns a copy of the state for `restore`."""
+        return self.revision, dict(self._items)
+
+    def restore(self, copy: tuple[int, dict[str, dict[str, Any]]]) -> None:
+        """Goes back to a copy, and gives its later revisions out again."""
+        self.revision, items = copy
+        self._items = dict(items)
+        self._history_start = 0
+        self._events = [
+            e for e in self._events if e["revision"] <= self.revision
+        ]
+        self.era = 1 if self.era is None else self.era + 1
+        self._notify_watchers()
+
+    def _headers(self) -> dict[str, str]:
+        return {} if self.era is None else {names.STORE_ERA: str(self.era)}
+
     def _publish(self, event: dict[str, Any]) -> None:
         self._events.append(event)
         self._notify_watchers()
@@ -108,7 +127,8 @@
                 "items": items,
                 "has_more": len(keys) > 2,
                 "as_of": self.revision,
-            }
+            },
+            headers=self._headers(),
         )
 
     async def _watch(self, request: web.BaseRequest) -> web.Response:
@@ -118,14 +138,17 @@
         try:
             async with asyncio.timeout(wait_s):
                 while not events and not self._is_stopped:
-                    if after < self._history_start:
-                        return web.Response(status=410)
+                    if not self._history_start <= after <= self.revision:
+                        return web.Response(status=410, headers=self._headers())
                     events = [e for e in self._events if e["revision"] > after]
                     if not events:
                         await self._changed.wait()
         except TimeoutError:
             pass
-        return web.json_response({"events": events, "as_of": self.revision})
+        return web.json_response(
+            {"events": events, "as_of": self.revision},
+            headers=self._headers(),
+        )
 
 
 class ServerStandIn:
--- a/magnoliafork/tests/platform/test_end_to_end.py
+++ b/magnoliafork/tests/platform/test_end_to_end.py
@@ -204,6 +204,74 @@
     run(test)
 
 
+def test_change_after_a_restore_of_the_store_is_in_force() -> None:
+    """Nodes dropped changes whose revisions had been given out before."""
+
+    async def test(fleet: Fleet) -> None:
+        copy = fleet.store.copy_items()
+        for version in (2, 3, 4):
+            routes = [*ROUTES, [f"/v{version}/", "safe", "y"]]
+            fleet.store.put("op/config", configuration(version, routes))
+        for host, _, _ in MACHINES:
+            await fleet.wait_for_status(host, "/v4/", 200)
+        fleet.store.restore(copy)
+        await asyncio.sleep(0.5)
+        for host, _, _ in MACHINES:
+            assert (await fleet.request(host, "/v4/")).status == 200
+        # This version gets a revision that another one had before.
+        routes = [*ROUTES, ["/v5/", "safe", "y"]]
+        fleet.store.put("op/config", configuration(5, routes))
+        calls = fleet.store.calls
+        for host, _, _ in MACHINES:
+            await fleet.wait_for_status(host, "/v5/", 200)
+        assert fleet.store.calls - calls < 20 * len(MACHINES)
+
+    run(test)
+
+
+def test_change_before_a_restore_is_noticed_is_in_force() -> None:
+    """A watch from a revision that was given out again skipped changes."""
+
+    async def test(fleet: Fleet) -> None:
+        copy = fleet.store.copy_items()
+        fleet.store.put("op/config", configuration(2, ROUTES))
+        revision = fleet.store.revision
+        await fleet.wait_until(
+            lambda: all(
+                n.view.revision >= revision for n in fleet.nodes.values()
+            )
+        )
+        fleet.store.restore(copy)
+        routes = [*ROUTES, ["/v3/", "safe", "y"]]
+        fleet.store.put("op/config", configuration(3, routes))
+        fleet.store.put("op/evacuate/rawdon", {})
+        for host, _, _ in MACHINES:
+            await fleet.wait_for_status(host, "/v3/", 200)
+
+    run(test)
+
+
+def test_node_that_starts_after_a_restore_takes_the_newest_configuration() -> (
+    None
+):
+    """A restarted node answered 404 on a route that was confirmed."""
+
+    async def test(fleet: Fleet) -> None:
+        copy = fleet.store.copy_items()
+        routes = [*ROUTES, ["/v2/", "safe", "y"]]
+        fleet.store.put("op/config", configuration(2, routes))
+        for host, _, _ in MACHINES:
+            await fleet.wait_for_status(host, "/v2/", 200)
+        fleet.store.restore(copy)
+        host, service, zone = MACHINES[0]
+        await fleet.nodes[host].close()
+        await fleet.clients[host].close()
+        await fleet.start_node(host, service, zone)
+        await fleet.wait_for_status(host, "/v2/", 200)
+
+    run(test)
+
+
 def test_configuration_that_cannot_be_read_changes_nothing() -> None:
     """Guards against a malformed publication that takes all routes away."""
 
--- a/magnoliafork/wire/messages.py
+++ b/magnoliafork/wire/messages.py
@@ -276,6 +276,12 @@
         view_age_ms: Time since the newest answer of the store that the sender
             knows of, whoever got it; 0 if an earlier release does not tell.
         view_reader: Host that got that answer.
+        era: Era of the store that the revision is of; 0 if an earlier release
+            or the store does not tell.
+        era_age_ms: Time since the store was restored to that era; 0 if the
+            sender has not seen an earlier one.
+        config_version: Newest version of the configuration that the sender
+            knows; it may be newer than a restored store.
     """
 
     revision: int
@@ -283,6 +289,9 @@
     outage_ended_ms: int
     view_age_ms: int = 0
     view_reader: str = ""
+    era: int = 0
+    era_age_ms: int = 0
+    config_version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -292,10 +301,12 @@
     Attributes:
         after_revision: Revision that the view of the sender has reached.
         accepts_patches: Whether the reply may contain patches.
+        era: Era of the revision.
     """
 
     after_revision: int
     accepts_patches: bool = False
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -311,6 +322,7 @@
         values: Deflated value or patch of each item; empty when it was removed.
         patched_revisions: For each item the revision of the value that its
             patch applies to, or 0 if the value is whole; empty if all are.
+        era: Era of all revisions.
     """
 
     base_revision: int
@@ -319,6 +331,7 @@
     revisions: tuple[int, ...]
     values: tuple[bytes, ...]
     patched_revisions: tuple[int, ...] = ()
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/magnoliafork/wire/peer.thrift
+++ b/magnoliafork/wire/peer.thrift
@@ -165,11 +165,15 @@
     3: i32 outage_ended_ms
     4: i32 view_age_ms
     5: string view_reader
+    6: i64 era
+    7: i32 era_age_ms
+    8: i64 config_version
 }
 
 struct ViewRequest {
     1: i64 after_revision
     2: bool accepts_patches
+    3: i64 era
 }
 
 struct ViewReply {
@@ -179,6 +183,7 @@
     4: list<i64> revisions
     5: list<binary> values
     6: list<i64> patched_revisions
+    7: i64 era
 }
 
 struct GoAway {
