Remember removed upstreams over restores and peers that missed their entry

Cause: the memory of a removal was judged by the copy's items alone. A removed upstream that the copy of a peer left out came back with the whole state of another peer that had started since and read the copy itself. A follower that got a removal without the last entry before it took the same entry in a copy for a newer one. Change: a state after a restore is known to lack what was removed up to its own revision; changes for a follower contain the last entry before its removal.

Tests fail without the change: the two new ones of views.

--- a/magnoliafork/mesh/view.py
+++ b/magnoliafork/mesh/view.py
@@ -33,7 +33,7 @@
 MIN_HISTORY_VALUE_BYTES = 4096
 MAX_HISTORY_VALUES = 8
 # Removed entries that are remembered; the oldest are dropped.
-MAX_REMOVED = 4096
+MAX_REMOVED = 1024
 
 Decode = Callable[[StoredItem], DecodedItem | None]
 
@@ -69,6 +69,21 @@
     era: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _RemovedUpstream:
+    """The last entry of a removed upstream.
+
+    Attributes:
+        item: Item of the entry; its revision is 0 if it is of an earlier era.
+        entry: Decoded entry.
+        removed_at: Revision up to which the store's state is known to lack it.
+    """
+
+    item: StoredItem
+    entry: UpstreamEntry
+    removed_at: int
+
+
 class MeshView:
     """Items of the store with their decoded values and indexes.
 
@@ -96,8 +111,7 @@
         self._history: dict[str, collections.deque[StoredItem]] = {}
         # Items of the earlier era that the restored store lacks.
         self._carried_keys: set[str] = set()
-        # Last entries of removed upstreams by key, and when they were removed.
-        self._removed: dict[str, tuple[int, UpstreamEntry]] = {}
+        self._removed: dict[str, _RemovedUpstream] = {}
         self.era = 0
         self.is_restored = False
         self.revision = 0
@@ -220,17 +234,25 @@
         """
         if revision and revision >= self._log_base:
             newest = {key: at for key, at in self._log if at > revision}
-            items = [
-                self._items.get(key) or StoredItem(key, at, b"")
-                for key, at in newest.items()
-            ]
+            items: list[StoredItem] = []
+            for key, at in newest.items():
+                present = self._items.get(key)
+                if present is not None:
+                    items.append(present)
+                    continue
+                # A peer that never had the last entry could not tell later
+                # whether that of a copy is older than the removal.
+                removed = self._removed.get(key)
+                if removed is not None and removed.item.revision > revision:
+                    items.append(removed.item)
+                items.append(StoredItem(key, at, b""))
             return ViewDelta(revision, self.revision, tuple(items), self.era)
-        present = tuple(
+        remaining = tuple(
             item
             for key, item in self._items.items()
             if key not in self._carried_keys
         )
-        return ViewDelta(0, self.revision, present, self.era)
+        return ViewDelta(0, self.revision, remaining, self.era)
 
     def value_at(self, key: str, revision: int) -> StoredItem | None:
         """Returns a large item as it was at a revision, if that is kept."""
@@ -265,8 +287,8 @@
         ]
         for item in fresh.values():
             current = self._items.get(item.key)
-            removed_at, _ = self._removed.get(item.key, (0, None))
-            if removed_at >= item.revision:
+            removed = self._removed.get(item.key)
+            if removed is not None and removed.removed_at >= item.revision:
                 continue
             if current is None or current.revision < item.revision:
                 changes.append(self._set(item))
@@ -282,7 +304,12 @@
         fresh = {item.key: item for item in delta.items}
         self._history.clear()
         self._removed = {
-            key: (0, entry) for key, (_, entry) in self._removed.items()
+            key: dataclasses.replace(
+                removed,
+                item=dataclasses.replace(removed.item, revision=0),
+                removed_at=delta.revision,
+            )
+            for key, removed in self._removed.items()
         }
         self._carried_keys = {
             key
@@ -298,9 +325,8 @@
             known, known_decoded = self._items.get(key), self._decoded.get(key)
             is_unchanged = known is not None and known.value == item.value
             decoded = known_decoded if is_unchanged else self._decode(item)
-            _, removed_entry = self._removed.get(key, (0, None))
-            if removed_entry is not None and is_removed(decoded, removed_entry):
-                self._removed[key] = (item.revision, removed_entry)
+            removed = self._removed.get(key)
+            if removed is not None and is_removed(decoded, removed.entry):
                 continue
             if known is not None and is_older(decoded, known_decoded):
                 item = dataclasses.replace(known, revision=item.revision)
@@ -315,10 +341,12 @@
         before = self._decoded.pop(item.key, None)
         if isinstance(before, MeshConfig) and is_older(after, before):
             # Operators may write the versions after a restore one by one.
-            known = self._items[item.key]
-            item = dataclasses.replace(known, revision=item.revision)
+            item = dataclasses.replace(
+                self._items[item.key], revision=item.revision
+            )
             after = before
         self._carried_keys.discard(item.key)
+        known = self._items.get(item.key)
         if item.value:
             self._removed.pop(item.key, None)
             self._items[item.key] = item
@@ -326,17 +354,16 @@
         else:
             self._items.pop(item.key, None)
             self._history.pop(item.key, None)
-            self._record_removed(item, before)
+            if known is not None and isinstance(before, UpstreamEntry):
+                self._record_removed(known, before, item.revision)
         if after is not None:
             self._decoded[item.key] = after
         return Change(item.key, item.revision, before, after)
 
     def _record_removed(
-        self, item: StoredItem, before: DecodedItem | None
+        self, item: StoredItem, entry: UpstreamEntry, removed_at: int
     ) -> None:
-        if not isinstance(before, UpstreamEntry):
-            return
-        self._removed[item.key] = (item.revision, before)
+        self._removed[item.key] = _RemovedUpstream(item, entry, removed_at)
         if len(self._removed) > MAX_REMOVED:
             del self._removed[next(iter(self._removed))]
 
--- a/magnoliafork/tests/mesh/test_restored_state.py
+++ b/magnoliafork/tests/mesh/test_restored_state.py
@@ -183,6 +183,33 @@
     assert setup.ids() == ["a"]
 
 
+def test_removed_upstream_is_not_used_because_a_peer_has_the_copy() -> None:
+    """A peer that started after the restore passed the copy on."""
+    setup = Restorable(config=config(), a=entry("a", sequence=5))
+    setup.remove("a")
+    setup.restore(config=config())
+    later = setup.whole(2, 12, {"config": config(), "b": entry("b")})
+    of_copy = setup.published.item_codec.item("a", 8, entry("a", sequence=5))
+    items = (*later.items, of_copy)
+    assert setup.view.apply(dataclasses.replace(later, items=items))
+    assert setup.ids() == ["b"]
+
+
+def test_peer_that_missed_the_last_entry_knows_that_it_was_removed() -> None:
+    """It took the entry of a copy for a newer one than the removed."""
+    setup = Restorable(config=config(), a=entry("a", sequence=1))
+    peer = Restorable(config=config(), a=entry("a", sequence=1))
+    peer.published.item_codec = setup.published.item_codec
+    peer.view._decode = setup.published.item_codec.decode
+    written = setup.whole(1, 21, {"a": entry("a", sequence=5)})
+    assert setup.view.apply(dataclasses.replace(written, base_revision=20))
+    setup.remove("a", 22)
+    assert peer.view.apply(setup.view.delta_after(20))
+    assert peer.ids() == []
+    peer.restore(config=config(), a=entry("a", sequence=5))
+    assert peer.ids() == []
+
+
 def test_earlier_incarnation_in_the_copy_does_not_replace_the_known_one() -> (
     None
 ):
