Take no answer without an id on a used connection for the request's own

Reported by other operators of similar systems: callers were told "not run, try again" of requests that a server had run or was running, or such a request ran at a second server. It can happen here if the refusal that the server writes once more echoes no id: it was then taken for the answer to the next request on that connection. With an id it was already skipped.

Cause: an answer without an id matched any request. Class: an answer is attributed by its order on the connection where only an id can tell. Change: on a connection that carried a request before, such an answer ends the exchange with an unknown outcome; on a new one it can only be the request's own. Elsewhere: the first product's client sends what may not be repeated on connections of its own; its upstreams echo no id, so that a repeatable request can still be told "not run" falsely there (not changed).

--- a/magnoliafork/mesh/http_exchange.py
+++ b/magnoliafork/mesh/http_exchange.py
@@ -121,7 +121,15 @@
 
 
 class HttpConnection(asyncio.Protocol):
-    """One connection to the upstream with one request at a time."""
+    """One connection to the upstream with one request at a time.
+
+    Attributes:
+        exchange_count: Requests that were sent on it.
+        idle_since_s: Loop time of the end of the last exchange.
+        idle_limit_s: Idle time that the upstream announced, or None.
+        on_closed: Called when the connection has ended.
+        was_closed_here: Whether this side has closed it.
+    """
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, turns: ParseTurns
@@ -136,6 +144,7 @@
         self._error = ""
         self._waiter: asyncio.Future[None] | None = None
         self._is_busy = False
+        self.exchange_count = 0
         self.idle_since_s = loop.time()
         self.idle_limit_s: float | None = None
         self.on_closed: Callable[[HttpConnection], None] | None = None
@@ -211,6 +220,7 @@
         """
         request = _request(method, target, headers, body)
         self._is_busy = True
+        self.exchange_count += 1
         self._exchange_bytes = 0
         try:
             assert self._transport is not None
--- a/magnoliafork/mesh/upstream.py
+++ b/magnoliafork/mesh/upstream.py
@@ -223,15 +223,30 @@
     async def _exchange(
         self, connection: HttpConnection, call: UpstreamCall
     ) -> HttpAnswer | HttpFailure:
-        def matches(answer: HttpAnswer) -> bool:
-            answer_headers = self._header_codec.parse_answer_headers(
+        def attempt_id(answer: HttpAnswer) -> str:
+            return self._header_codec.parse_answer_headers(
                 answer.status, answer.headers
-            )
-            return answer_headers.attempt_id in ("", call.attempt_id)
+            ).attempt_id
 
         result = await connection.exchange(
-            call.method, call.target, call.headers, call.body, matches
+            call.method,
+            call.target,
+            call.headers,
+            call.body,
+            lambda answer: attempt_id(answer) in ("", call.attempt_id),
         )
+        if (
+            isinstance(result, HttpAnswer)
+            and connection.exchange_count > 1
+            and not attempt_id(result)
+        ):
+            # It may be the answer to an earlier request, sent once more.
+            connection.close()
+            return HttpFailure(
+                f"status {result.status} without an id on a used connection",
+                has_answer_begun=True,
+                is_malformed=True,
+            )
         self._keep(connection)
         return result
 
--- a/magnoliafork/tests/mesh/test_http_exchange.py
+++ b/magnoliafork/tests/mesh/test_http_exchange.py
@@ -394,6 +394,52 @@
     assert results[0].was_sent
 
 
+@pytest.mark.parametrize("echoed", ["", f"{names.ATTEMPT_ID}: id0\r\n"])
+@pytest.mark.parametrize("is_repeatable", [False, True])
+def test_refusal_of_an_earlier_request_that_is_sent_once_more(
+    echoed: str, is_repeatable: bool
+) -> None:
+    """Callers were told "not run" of requests that ran, or they ran twice."""
+    runs: list[str] = []
+
+    async def refuse_twice(
+        writer: asyncio.StreamWriter, attempt: str, count: int
+    ) -> None:
+        refusal = (
+            f"HTTP/1.1 503 No\r\n{names.NOT_EXECUTED}: 1\r\n{echoed}"
+            "Content-Length: 0\r\n\r\n"
+        ).encode()
+        if count <= 2:
+            writer.write(refusal)
+        if count > 1:
+            runs.append(attempt)
+            await asyncio.sleep(0.02)
+            writer.write(answer(attempt))
+
+    results, _ = run(refuse_twice, count=2, is_repeatable=is_repeatable)
+    assert isinstance(results[0], UpstreamNotRun)
+    assert runs == ["id1"]
+    assert isinstance(results[1], (UpstreamAnswered, UpstreamUnknown))
+
+
+def test_answer_that_ends_within_its_head_is_not_complete() -> None:
+    """Callers got a 200 with an empty or short body, framed as whole."""
+    whole = answer("id0", "hello", "X-Long: a b\r\n")
+    head_bytes = whole.index(b"\r\n\r\n") + 4
+
+    for size in range(head_bytes + len("hello")):
+
+        async def cut(
+            writer: asyncio.StreamWriter, _: str, __: int, size: int = size
+        ) -> None:
+            writer.write(whole[:size])
+            await writer.drain()
+            writer.close()
+
+        results, _ = run(cut, is_repeatable=False)
+        assert isinstance(results[0], UpstreamUnknown), whole[:size]
+
+
 def test_error_without_a_not_executed_header_may_have_run() -> None:
     """A request that may have run would be sent a second time."""
 
