Test late requests of a planned stop and answers cut within their head

The test sends 40 requests over a grace period of 2 s on connections that were open before; it fails if requests are accepted until the end.

--- a/magnoliafork/tests/platform/test_planned_stop.py
+++ b/magnoliafork/tests/platform/test_planned_stop.py
@@ -4,9 +4,13 @@
 
 from magnoliafork.mesh.graceful_shutdown import ShutdownPlan
 from magnoliafork.mesh.settings import Bounds
+from magnoliafork.tests.platform.standins import CALLER_PORT
 from magnoliafork.tests.platform.test_end_to_end import Fleet, run
+from magnoliafork.tests.platform.test_kept_connections import post_head
 
 HOST = "127.0.7.1"
+GRACE_S = 2.0
+LATE_REQUESTS = 40
 
 
 def test_request_after_the_accept_time_is_refused_before_the_next_tick() -> (
@@ -47,3 +51,49 @@
         assert node.ingress.cut == 0
 
     run(test)
+
+
+def test_late_requests_of_a_planned_stop_are_refused_and_none_is_cut() -> None:
+    """Requests that came late in the grace were passed on and then cut."""
+
+    async def test(fleet: Fleet) -> None:
+        node, loop = fleet.nodes[HOST], asyncio.get_running_loop()
+        node._settings = node._settings.model_copy(
+            update={"bounds": Bounds(grace_period_s=GRACE_S)}
+        )
+        for server in fleet.servers.values():
+            server.work_s = 0.5
+        connections = [
+            await asyncio.open_connection(HOST, CALLER_PORT)
+            for _ in range(LATE_REQUESTS)
+        ]
+        stopping = asyncio.create_task(node.stop())
+        stopped_s = loop.time()
+
+        async def send_at(number: int) -> None:
+            reader, writer = connections[number]
+            after_s = GRACE_S * number / LATE_REQUESTS
+            await asyncio.sleep(after_s)
+            attempt_id = f"late-{number}"
+            sent_s = loop.time() - stopped_s
+            writer.write(post_head(attempt_id, "/pay/") + b"10")
+            try:
+                answer = await reader.readuntil(b"\r\n\r\n")
+            except (asyncio.IncompleteReadError, ConnectionError):
+                answer = b""
+            was_sent_on = any(
+                server.runs[attempt_id] for server in fleet.servers.values()
+            )
+            if was_sent_on:
+                assert answer.startswith((b"HTTP/1.1 200", b"HTTP/1.1 504"))
+                assert sent_s < GRACE_S / 2
+            elif answer:
+                assert answer.startswith(b"HTTP/1.1 503")
+                assert b"Retry-After" in answer
+            writer.transport.abort()
+
+        await asyncio.gather(*map(send_at, range(LATE_REQUESTS)))
+        await stopping
+        assert node.ingress.cut == 0
+
+    run(test)
--- a/magnoliafork/tests/proxy/test_upstream.py
+++ b/magnoliafork/tests/proxy/test_upstream.py
@@ -126,6 +126,14 @@
     assert len(raw.heads) == 1
 
 
+def test_answer_that_ends_within_its_head_is_not_complete() -> None:
+    """Callers got a 200 with an empty or short body, framed as whole."""
+    head_bytes = WHOLE.index(b"\r\n\r\n") + 4
+    for size in range(head_bytes):
+        results, _ = exchange(answer_with(WHOLE[:size]), make_request())
+        assert isinstance(results[0], UpstreamUnknown), WHOLE[:size]
+
+
 def test_repeatable_request_is_not_repeated_on_a_broken_kept_connection() -> (
     None
 ):
