Count a node's own last answer when it dates an outage of the store

Cause: the start of an outage was taken from the last announcement, which may lie an answer behind the node's own last one. Change: the later of both counts; the function says in its name what it returns. The new test fails without the change.

--- a/magnoliafork/mesh/store_reader.py
+++ b/magnoliafork/mesh/store_reader.py
@@ -146,7 +146,7 @@
     async def _on_failure(self, detail: str) -> None:
         if not self._is_store_unavailable:
             self._is_store_unavailable = True
-            self._failing_since_s = self._view_sync.last_fresh_s()
+            self._failing_since_s = self._view_sync.earliest_outage_start_s()
             self._view_sync.note_answers_after(
                 self._failing_since_s + OUTAGE_START_S
             )
--- a/magnoliafork/mesh/view_sync.py
+++ b/magnoliafork/mesh/view_sync.py
@@ -133,15 +133,18 @@
             is_alive and now_s - peer.store_answer_at_s < STORE_ACCESS_TIMEOUT_S
         )
 
-    def last_fresh_s(self) -> float:
-        """Returns until when the store may have answered others all the time.
+    def earliest_outage_start_s(self) -> float:
+        """Returns the earliest time at which an outage may have begun.
 
-        A node that takes over reading in an outage notices it late.
+        The store answered this node or another one until then, or the next
+        answer to it was not due yet. A node that takes over reading in an
+        outage notices it late.
         """
         now_s = self._clock()
-        if self._view_fresh_at_s == float("-inf"):
+        answered_at_s = max(self._view_fresh_at_s, self.last_store_answer_s)
+        if answered_at_s == float("-inf"):
             return now_s
-        return min(now_s, self._view_fresh_at_s + STORE_ANSWER_INTERVAL_S)
+        return min(now_s, answered_at_s + STORE_ANSWER_INTERVAL_S)
 
     def note_answers_after(self, after_s: float) -> None:
         """Begins to look for the first answer to a neighbour after a time."""
--- a/magnoliafork/tests/mesh/test_view_sync.py
+++ b/magnoliafork/tests/mesh/test_view_sync.py
@@ -315,3 +315,16 @@
         and cluster.nodes[peer].view.revision == cluster.revision
         for peer in cluster.nodes[host].peers
     )
+
+
+def test_outage_cannot_have_begun_before_the_last_answer_to_this_node() -> None:
+    """A refusal of one node for a second passed for an outage."""
+    cluster = FakeCluster()
+    view_sync = cluster.nodes["x0"].view_sync
+    view_sync.last_store_answer_s = cluster.now_s
+    view_sync.announce()
+    # No announcement tells of the next answer.
+    cluster.now_s += 2.2
+    view_sync.last_store_answer_s = cluster.now_s
+    cluster.now_s += 1.0
+    assert view_sync.earliest_outage_start_s() == cluster.now_s
