Restore the store from older copies in the soak

The soak's store could fail and fall silent, but never lost what it had acknowledged. It now goes back to a copy of 0.5 to 1.5 s before, gives revisions out again, and what was lost is written again up to 1 s later. Entries of servers carry a rising number of their writes, as those of the platform do.

--- a/magnoliafork/tests/platform/standins.py
+++ b/magnoliafork/tests/platform/standins.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import collections
+import dataclasses
 import json
 from typing import Any
 
@@ -19,6 +20,19 @@
 SILENCE_S = 60.0
 
 
+@dataclasses.dataclass(frozen=True)
+class Copy:
+    """A copy of the store's state.
+
+    Attributes:
+        revision: Revision of the state.
+        items: Items by key.
+    """
+
+    revision: int
+    items: dict[str, dict[str, Any]]
+
+
 class StoreStandIn:
     """Keeps items in memory and answers reads and watches."""
 
@@ -78,14 +92,14 @@
         self._history_start = self.revision
         self._notify_watchers()
 
-    def copy_items(self) -> tuple[int, dict[str, dict[str, Any]]]:
+    def copy(self) -> Copy:
         """Returns a copy of the state for `restore`."""
-        return self.revision, dict(self._items)
+        return Copy(self.revision, dict(self._items))
 
-    def restore(self, copy: tuple[int, dict[str, dict[str, Any]]]) -> None:
+    def restore(self, copy: Copy) -> None:
         """Goes back to a copy, and gives its later revisions out again."""
-        self.revision, items = copy
-        self._items = dict(items)
+        self.revision = copy.revision
+        self._items = dict(copy.items)
         self._history_start = 0
         self._events = [
             e for e in self._events if e["revision"] <= self.revision
@@ -93,6 +107,23 @@
         self.era = 1 if self.era is None else self.era + 1
         self._notify_watchers()
 
+    def write_again(self, copy: Copy, lost: Copy) -> None:
+        """Writes again what a restore of a copy has lost.
+
+        Args:
+            copy: Copy that was restored.
+            lost: State before the restore.
+        """
+        written = {
+            e["key"] for e in self._events if e["revision"] > copy.revision
+        }
+        for key in sorted((lost.items.keys() | copy.items.keys()) - written):
+            item = lost.items.get(key)
+            if item is None:
+                self.remove(key)
+            elif item != copy.items.get(key):
+                self.put(key, base64.b64decode(item["value"]))
+
     def _headers(self) -> dict[str, str]:
         return {} if self.era is None else {names.STORE_ERA: str(self.era)}
 
@@ -215,7 +246,12 @@
 
 
 def server_entry(
-    host: str, service: str, zone: str, state: str = "ready", slots: int = 4
+    host: str,
+    service: str,
+    zone: str,
+    state: str = "ready",
+    slots: int = 4,
+    sequence: int = 1,
 ) -> dict[str, Any]:
     """Returns the entry that a server writes to the store."""
     return {
@@ -226,7 +262,7 @@
             "zone": zone,
             "slots": slots,
         },
-        "status": {"state": state, "sequence": 1, "cold_left_ms": 0},
+        "status": {"state": state, "sequence": sequence, "cold_left_ms": 0},
         "born": 1_700_000_000_000,
     }
 
--- a/magnoliafork/tests/platform/test_end_to_end.py
+++ b/magnoliafork/tests/platform/test_end_to_end.py
@@ -208,7 +208,7 @@
     """Nodes dropped changes whose revisions had been given out before."""
 
     async def test(fleet: Fleet) -> None:
-        copy = fleet.store.copy_items()
+        copy = fleet.store.copy()
         for version in (2, 3, 4):
             routes = [*ROUTES, [f"/v{version}/", "safe", "y"]]
             fleet.store.put("op/config", configuration(version, routes))
@@ -233,7 +233,7 @@
     """A watch from a revision that was given out again skipped changes."""
 
     async def test(fleet: Fleet) -> None:
-        copy = fleet.store.copy_items()
+        copy = fleet.store.copy()
         fleet.store.put("op/config", configuration(2, ROUTES))
         revision = fleet.store.revision
         await fleet.wait_until(
@@ -257,7 +257,7 @@
     """A restarted node answered 404 on a route that was confirmed."""
 
     async def test(fleet: Fleet) -> None:
-        copy = fleet.store.copy_items()
+        copy = fleet.store.copy()
         routes = [*ROUTES, ["/v2/", "safe", "y"]]
         fleet.store.put("op/config", configuration(2, routes))
         for host, _, _ in MACHINES:
--- a/magnoliafork/tests/soak/fleet.py
+++ b/magnoliafork/tests/soak/fleet.py
@@ -110,6 +110,7 @@
         self._folder = folder
         self.store = StoreStandIn()
         self.version = 0
+        self._sequence = 0
         self.machines = [
             Machine(
                 f"{network}.{number + 1}",
@@ -164,8 +165,14 @@
 
     def publish_server_state(self, machine: Machine, state: str) -> None:
         """Writes the entry with a server's state to the store."""
+        self._sequence += 1
         entry = server_entry(
-            machine.host, machine.service, machine.zone, state, self._slots
+            machine.host,
+            machine.service,
+            machine.zone,
+            state,
+            self._slots,
+            self._sequence,
         )
         self.store.put(f"servers/{machine.server.server_id}", entry)
 
--- a/magnoliafork/tests/soak/run.py
+++ b/magnoliafork/tests/soak/run.py
@@ -75,6 +75,8 @@
         self._payment_statuses: dict[str, int] = {}
         self._fault_spans: list[FaultSpan] = []
         self._keep_alive_requests: list[KeepAliveRequest] = []
+        # A restore begins only after the one before it is complete.
+        self._copied_era = fleet.store.era
         self._start_s = asyncio.get_running_loop().time()
         self.findings = Findings()
 
@@ -162,6 +164,7 @@
             self._pause,
             self._send_sighup,
             self._interrupt_store,
+            self._restore_store,
             self._publish_configurations,
             self._drain_server,
             self._evacuate_zone,
@@ -231,6 +234,20 @@
         await asyncio.sleep(0.3 + self._fault_rng.random())
         store.status, store.is_silent = 200, False
 
+    async def _restore_store(self, machine: Machine) -> None:
+        """Restores an older copy; what is lost is written again later."""
+        del machine
+        store = self._fleet.store
+        copy = store.copy()
+        await asyncio.sleep(0.5 + self._fault_rng.random())
+        if store.era != self._copied_era:
+            return
+        lost = store.copy()
+        store.restore(copy)
+        await asyncio.sleep(self._fault_rng.random())
+        store.write_again(copy, lost)
+        self._copied_era = store.era
+
     async def _publish_configurations(self, machine: Machine) -> None:
         del machine
         for _ in range(self._fault_rng.randint(1, 4)):
