--- a/magnoliafork/tests/mesh/test_view_sync.py
+++ b/magnoliafork/tests/mesh/test_view_sync.py
@@ -1,5 +1,6 @@
 """Changes reach every node over links that break and fall silent."""
 
+import dataclasses
 import io
 import random
 import zlib
@@ -328,3 +329,18 @@
     view_sync.last_store_answer_s = cluster.now_s
     cluster.now_s += 1.0
     assert view_sync.earliest_outage_start_s() == cluster.now_s
+
+
+def test_earlier_release_is_followed_until_the_store_is_restored() -> None:
+    """It tells no era, and its revisions are then of another history."""
+    cluster = FakeCluster()
+    node = cluster.nodes["x0"]
+    whole = dataclasses.replace(cluster.base, revision=20, era=3)
+    node.view.apply(whole)
+    node.view.is_restored = False
+    node.view_sync.on_control("y0", messages.ViewAnnounce(25, 0, 3_600_000))
+    cluster.run(0.1)
+    assert node.view_sync.lag_s > 0
+    node.view.apply(dataclasses.replace(whole, revision=12, era=4))
+    node.view_sync.on_control("y0", messages.ViewAnnounce(25, 0, 3_600_000))
+    assert node.view_sync.lag_s == 0
