Take a peer's configuration also without one of the own

A node that started after a restore, to a copy older than the first configuration, would have answered 503 until it was written again, although its peers know it, and would have asked them for their whole state all the time. Found by reading; the new test fails without the change. The move to a restored state is split into parts.

--- a/magnoliafork/mesh/view.py
+++ b/magnoliafork/mesh/view.py
@@ -12,7 +12,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Container, Iterable, Sequence
 
 from magnoliafork.mesh.model import (
     DecodedItem,
@@ -198,16 +198,15 @@
         """
         changes = []
         for item in items:
-            known, decoded = (
-                self._items.get(item.key),
-                self._decoded.get(item.key),
-            )
-            if known is None or not isinstance(decoded, MeshConfig):
-                continue
-            newer = self._decode(item)
-            if is_older(decoded, newer):
-                item = dataclasses.replace(item, revision=known.revision)
-                changes.append(self._put(item, newer))
+            decoded = self._decode(item)
+            if (
+                isinstance(decoded, MeshConfig)
+                and decoded.version > self.config_version
+            ):
+                known = self._items.get(item.key)
+                revision = known.revision if known is not None else 0
+                item = dataclasses.replace(item, revision=revision)
+                changes.append(self._put(item, decoded))
         if changes:
             self._notify(changes)
 
@@ -303,23 +302,8 @@
         """
         fresh = {item.key: item for item in delta.items}
         self._history.clear()
-        self._removed = {
-            key: dataclasses.replace(
-                removed,
-                item=dataclasses.replace(removed.item, revision=0),
-                removed_at=delta.revision,
-            )
-            for key, removed in self._removed.items()
-        }
-        self._carried_keys = {
-            key
-            for key in self._items
-            if key not in fresh
-            and not isinstance(self._decoded.get(key), MeshConfig)
-        }
-        for key in self._items.keys() - fresh.keys():
-            item = self._items[key]
-            self._items[key] = dataclasses.replace(item, revision=0)
+        self._carry_lost(fresh)
+        self._move_removed(delta.revision)
         changes = []
         for key, item in fresh.items():
             known, known_decoded = self._items.get(key), self._decoded.get(key)
@@ -334,6 +318,25 @@
             changes.append(self._put(item, decoded))
         return [c for c in changes if c.before != c.after]
 
+    def _carry_lost(self, fresh: Container[str]) -> None:
+        """Keeps the items that a restored store lacks."""
+        for key in self._items:
+            if key in fresh:
+                continue
+            self._items[key] = dataclasses.replace(self._items[key], revision=0)
+            # A configuration stays in force without a limit of time.
+            if not isinstance(self._decoded.get(key), MeshConfig):
+                self._carried_keys.add(key)
+
+    def _move_removed(self, revision: int) -> None:
+        """Dates the removals of an earlier era by a revision of the new one."""
+        for key, removed in self._removed.items():
+            self._removed[key] = _RemovedUpstream(
+                dataclasses.replace(removed.item, revision=0),
+                removed.entry,
+                revision,
+            )
+
     def _set(self, item: StoredItem) -> Change:
         return self._put(item, self._decode(item) if item.value else None)
 
--- a/magnoliafork/tests/mesh/test_restored_state.py
+++ b/magnoliafork/tests/mesh/test_restored_state.py
@@ -120,6 +120,15 @@
     assert view.position == StorePosition(2, 10)
 
 
+def test_node_without_any_configuration_takes_it_from_a_peer() -> None:
+    """The copy may be older than the first configuration."""
+    setup = Restorable(config=config(13))
+    view = MeshView(setup.published.item_codec.decode)
+    view.apply(setup.whole(2, 10, {"a": entry("a")}))
+    view.adopt_config(setup.view.delta_after(0).items)
+    assert view.config_version == 13
+
+
 def test_upstream_that_the_copy_lacks_stays_in_use_until_written_again() -> (
     None
 ):
