Record what a failed health check states about its upstream

Cause: the answer to a health check was parsed only if it told the cold time. An upstream that leaves, or has no free slot, answers 503, often without one, and its statements to leave and to take a limited rate were dropped with it. Class: one part of an answer decided whether another part was read.

Change: the cold time is one optional field; the upstream stays cold as long as no check tells it, as before. Statuses other than 200 and 503 still tell nothing.

--- a/magnoliafork/mesh/cold_state_monitor.py
+++ b/magnoliafork/mesh/cold_state_monitor.py
@@ -135,11 +135,14 @@
             return False
         if health_headers.upstream_id == entry.upstream_id:
             self._notices.record_partial(entry, health_headers.notice)
-        self._limiter.set_cold_time(health_headers.cold_left_s, self._clock())
+        cold_left_s = health_headers.cold_left_s
+        if cold_left_s is None:
+            return False
+        self._limiter.set_cold_time(cold_left_s, self._clock())
         self._log.info(
             Event.UPSTREAM_COLD,
             upstream=health_headers.upstream_id,
-            cold_for_ms=int(health_headers.cold_left_s * 1000),
+            cold_for_ms=int(cold_left_s * 1000),
             is_known=True,
         )
         self._on_reachable()
--- a/magnoliafork/mesh/header_codec.py
+++ b/magnoliafork/mesh/header_codec.py
@@ -62,12 +62,13 @@
 
     Attributes:
         upstream_id: Id of the incarnation that answered; empty if unstated.
-        cold_left_s: How long the upstream stays cold.
+        cold_left_s: How long the upstream stays cold; None if the answer does
+            not tell.
         notice: What the upstream states about itself.
     """
 
     upstream_id: str
-    cold_left_s: float
+    cold_left_s: float | None
     notice: UpstreamNotice = UpstreamNotice()
 
 
@@ -110,6 +111,6 @@
     ) -> HealthHeaders | None:
         """Parses the headers of the answer to a health check.
 
-        Returns None if the answer does not tell whether the upstream is cold.
+        Returns None if it is not the answer of an upstream to a health check.
         """
         ...
--- a/magnoliafork/mesh/upstream.py
+++ b/magnoliafork/mesh/upstream.py
@@ -113,7 +113,7 @@
     async def health(self, path: str) -> HealthHeaders | None:
         """Sends a health check.
 
-        Returns None if no answer tells whether the upstream is cold.
+        Returns None if the upstream does not answer it.
         """
         ...
 
--- a/magnoliafork/platform/header_codec.py
+++ b/magnoliafork/platform/header_codec.py
@@ -94,15 +94,15 @@
         self, status: int, headers: RawHeaders
     ) -> HealthHeaders | None:
         """Parses the headers of the answer to a health check."""
+        if status not in (_HEALTHY, _UNHEALTHY):
+            return None
         found = _lower(headers)
         cold_ms = found.get(names.COLD_MS.lower())
         if status == _HEALTHY:
             cold_ms = cold_ms or "0"
-        if cold_ms is None or status not in (_HEALTHY, _UNHEALTHY):
-            return None
         return HealthHeaders(
             found.get(names.INSTANCE_ID.lower(), ""),
-            _seconds(cold_ms),
+            _seconds(cold_ms) if cold_ms is not None else None,
             _notice(found),
         )
 
