Cache encoded values by their content

A node that started after a restore could get the configuration of the copy from a peer that knows a newer one, and answer 404 on confirmed routes until the operators had written it again.

Cause: the cache of encoded values named a value by key, era and revision. A node that takes over a newer configuration from a peer keeps it under the revision of the copy, so that the cache still returned the copy's. Class: a revision taken for the identity of a value; the era alone does not repair that. Elsewhere: a patch between two values of one revision fails its checksum, and the whole value is sent.

Change: the cache is keyed by the item and the item patched, with their bytes, whose hash Python keeps.

--- a/magnoliafork/mesh/view_codec.py
+++ b/magnoliafork/mesh/view_codec.py
@@ -22,9 +22,10 @@
     def __init__(self, view: MeshView) -> None:
         """Creates an encoder of the changes of a view."""
         self._view = view
-        # By key, era, revision of the value and of the value patched.
+        # By item and item patched. A revision does not identify a value: after
+        # a restore, a newer one may take the place of that of the copy.
         self._cache: collections.OrderedDict[
-            tuple[str, int, int, int], bytes
+            tuple[StoredItem, StoredItem | None], bytes
         ] = collections.OrderedDict()
         self.sent_bytes = 0
 
@@ -60,8 +61,7 @@
     def _encoded(self, item: StoredItem, base: StoredItem | None) -> bytes:
         if not item.value:
             return b""
-        base_revision = base.revision if base is not None else 0
-        key = (item.key, self._view.era, item.revision, base_revision)
+        key = (item, base)
         encoded = self._cache.pop(key, None)
         if encoded is None:
             content = item.value
--- a/magnoliafork/tests/mesh/test_view_codec.py
+++ b/magnoliafork/tests/mesh/test_view_codec.py
@@ -15,6 +15,7 @@
     ViewDelta,
 )
 from magnoliafork.mesh.view_codec import ViewEncoder, decode_reply
+from magnoliafork.tests.mesh.builders import FakeItemCodec, config
 from magnoliafork.wire import messages
 
 ROWS = st.lists(st.sampled_from([b"[1],", b"[2],", b"[3],", b"x", b"],"]))
@@ -149,3 +150,19 @@
     delta = decode_reply(encoder.reply(request(0)), MeshView(lambda _: None))
     assert isinstance(delta, ViewDelta)
     assert delta.items[0].value == value(7)
+
+
+def test_value_that_was_replaced_at_its_revision_is_not_sent() -> None:
+    """Peers were sent the configuration of the copy again and again."""
+    codec = FakeItemCodec()
+    view = MeshView(codec.decode)
+    view.apply(ViewDelta(0, 3, (codec.item("config", 3, config(5)),), era=2))
+    encoder = ViewEncoder(view)
+    whole = messages.ViewRequest(0, True, era=2)
+    encoder.reply(whole)
+    view.adopt_config((codec.item("config", 4, config(13)),))
+    follower = MeshView(codec.decode)
+    delta = decode_reply(encoder.reply(whole), follower)
+    assert isinstance(delta, ViewDelta)
+    follower.apply(delta)
+    assert follower.config_version == 13
