--- a/magnoliafork/tests/mesh/test_view_sync.py
+++ b/magnoliafork/tests/mesh/test_view_sync.py
@@ -344,3 +344,24 @@
     node.view.apply(dataclasses.replace(whole, revision=12, era=4))
     node.view_sync.on_control("y0", messages.ViewAnnounce(25, 0, 3_600_000))
     assert node.view_sync.lag_s == 0
+
+
+def test_peer_without_the_configuration_it_announces_is_not_asked_again() -> (
+    None
+):
+    """Two nodes exchanged their whole state without pause."""
+    cluster = FakeCluster()
+    node = cluster.nodes["x0"]
+    announce = messages.ViewAnnounce(
+        node.view.revision, 0, 3_600_000, config_version=7
+    )
+    node.view_sync.on_control("x1", announce)
+    whole = messages.ViewReply(0, node.view.revision, (), (), ())
+    for _ in range(20):
+        node.view_sync.on_control("x1", whole)
+    requests = [
+        frame
+        for frame in cluster.frames
+        if isinstance(frame[2], messages.ViewRequest)
+    ]
+    assert len(requests) == 1
