Back off when a whole read is older than the view

Cause: a whole read that was ignored counted as a success, and the watch after it was refused at once. Change: it is followed by the backoff of a failed read, which only an applied answer resets.

--- a/magnoliafork/mesh/store_reader.py
+++ b/magnoliafork/mesh/store_reader.py
@@ -11,7 +11,7 @@
     StoreUnavailable,
 )
 from magnoliafork.mesh.upstream_table import UpstreamTable
-from magnoliafork.mesh.view import MeshView
+from magnoliafork.mesh.view import MeshView, ViewDelta
 from magnoliafork.mesh.view_sync import ViewSync
 from magnoliafork.observe.events import Event
 from magnoliafork.observe.logs import EventLog
@@ -94,7 +94,10 @@
                 view_era=self._view.era,
                 view_revision=self._view.revision,
             )
-        elif self._view.revision and result.era != self._view.era:
+            # The next read would find the same state.
+            await self._back_off()
+            return
+        if self._view.revision and result.era != self._view.era:
             self._log.warning(
                 Event.STORE_RESTORED,
                 era=result.era,
@@ -102,7 +105,7 @@
                 view_era=self._view.era,
                 view_revision=self._view.revision,
             )
-        self._view.apply(result)
+        self._apply(result)
 
     async def _watch(self) -> None:
         # After a failure, an answer shows at once that the store is available.
@@ -126,12 +129,15 @@
             self._needs_full_read = self._view.era == era
             return
         self._on_success()
-        self._view.apply(result)
+        self._apply(result)
         await asyncio.sleep(BATCH_DELAY_S)
 
+    def _apply(self, delta: ViewDelta) -> None:
+        self._backoff_s = MIN_BACKOFF_S
+        self._view.apply(delta)
+
     def _on_success(self) -> None:
         now_s = self._clock()
-        self._backoff_s = MIN_BACKOFF_S
         self._view_sync.last_store_answer_s = now_s
         if not self._is_store_unavailable:
             return
@@ -157,5 +163,8 @@
             detail=detail,
             view_revision=self._view.revision,
         )
+        await self._back_off()
+
+    async def _back_off(self) -> None:
         await asyncio.sleep(self._backoff_s * (0.5 + self._rng.random()))
         self._backoff_s = min(self._backoff_s * 2, MAX_BACKOFF_S)
--- a/magnoliafork/tests/mesh/test_store_reader.py
+++ b/magnoliafork/tests/mesh/test_store_reader.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from magnoliafork.mesh.published_store import HistoryGone
 from magnoliafork.mesh.store_reader import MAX_BACKOFF_S
+from magnoliafork.mesh.view import ViewDelta
 from magnoliafork.tests.mesh import store_fleet
 from magnoliafork.tests.mesh.store_fleet import (
     DRAIN_TIMEOUT_S,
@@ -15,6 +17,7 @@
 
 HOSTS = ("x0", "x1", "x2", "y0", "y1", "y2")
 STEP_S = 0.05
+READ_S = 0.004
 
 
 def run(test: Callable[[Fleet], Awaitable[None]], seed: int) -> None:
@@ -121,3 +124,40 @@
         assert fleet.users_of("x1") == []
 
     run(test, seed)
+
+
+class EarlierCopy:
+    """A store that answers from a state before the view; `PublishedStore`."""
+
+    def __init__(self, revision: int, era: int) -> None:
+        self._state = ViewDelta(0, revision, (), era)
+        self.call_count = 0
+
+    async def read_all(self) -> ViewDelta:
+        self.call_count += 1
+        await asyncio.sleep(READ_S)
+        return self._state
+
+    async def watch(self, after_revision: int, wait_s: float) -> HistoryGone:
+        del after_revision, wait_s
+        self.call_count += 1
+        await asyncio.sleep(READ_S)
+        return HistoryGone(self._state.era)
+
+
+@pytest.mark.parametrize(("revision", "era"), [(9, 2), (20, 1)])
+def test_store_that_is_behind_the_view_is_not_read_without_pause(
+    revision: int, era: int
+) -> None:
+    """A reader made 125 calls a second that led nowhere."""
+
+    async def test(fleet: Fleet) -> None:
+        node = fleet.nodes["x0"]
+        node.view.apply(ViewDelta(0, 10, (), era=2))
+        store = EarlierCopy(revision, era)
+        node.reader._store = store
+        await asyncio.sleep(10.0)
+        # Two calls for each pause of half the longest one or more.
+        assert store.call_count <= 2 * (10.0 / (MAX_BACKOFF_S / 2) + 5)
+
+    run(test, 0)
