Test stated limits and leaving upstreams over real connections

The stand-in of an upstream now states headers in all its answers, and fails its health checks while it leaves.

Two tests with four nodes, each with a restart of the node beside the upstream: one that leaves while the store is away, and a limit of 5 requests a second under about 200.

--- a/magnoliafork/tests/platform/standins.py
+++ b/magnoliafork/tests/platform/standins.py
@@ -190,6 +190,9 @@
 
     Attributes:
         work_spans_s: Begin and end of the work on each request, loop time.
+        statements: Headers of all answers, which tell about the server.
+        arrivals: Attempt ids and loop times of all requests and health checks;
+            the id of a check is empty.
     """
 
     def __init__(self, host: str, server_id: str, work_s: float = 0.0) -> None:
@@ -201,6 +204,8 @@
         self.runs: collections.Counter[str] = collections.Counter()
         self.work_spans_s: dict[str, tuple[float, float]] = {}
         self.requests: list[web.BaseRequest] = []
+        self.statements: dict[str, str] = {}
+        self.arrivals: list[tuple[str, float]] = []
         self._runner = web.ServerRunner(
             web.Server(self._handle), shutdown_timeout=0.1
         )
@@ -215,15 +220,12 @@
         await self._runner.cleanup()
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
+        arrived_s = asyncio.get_running_loop().time()
+        attempt_id = request.headers.get(names.ATTEMPT_ID, "")
+        self.arrivals.append((attempt_id, arrived_s))
         if request.path == "/health":
-            return web.Response(
-                headers={
-                    names.INSTANCE_ID: self.server_id,
-                    names.COLD_MS: str(self.cold_ms),
-                }
-            )
-        attempt_id = request.headers[names.ATTEMPT_ID]
-        echo = {names.ATTEMPT_ID: attempt_id}
+            return self._health()
+        echo = {names.ATTEMPT_ID: attempt_id, **self.statements}
         expected = request.headers.get(names.EXPECT_INSTANCE)
         if expected not in (None, self.server_id):
             return web.Response(status=421, headers=echo)
@@ -244,6 +246,13 @@
             headers={**echo, names.SEAL: f"seal-{self.server_id}"},
         )
 
+    def _health(self) -> web.Response:
+        headers = {names.INSTANCE_ID: self.server_id, **self.statements}
+        if names.SERVER_LEAVING in self.statements:
+            return web.Response(status=503, headers=headers)
+        headers[names.COLD_MS] = str(self.cold_ms)
+        return web.Response(headers=headers)
+
 
 def server_entry(
     host: str,
--- a/magnoliafork/tests/platform/test_end_to_end.py
+++ b/magnoliafork/tests/platform/test_end_to_end.py
@@ -105,6 +105,13 @@
         self.nodes[host], self.clients[host] = node, client
         return node
 
+    async def restart_node(self, host: str) -> None:
+        """Ends a node and starts it again; its upstream lives on."""
+        await self.nodes[host].close()
+        await self.clients[host].close()
+        _, service, zone = next(m for m in MACHINES if m[0] == host)
+        await self.start_node(host, service, zone)
+
     async def close(self) -> None:
         await self.http.close()
         for host, node in self.nodes.items():
@@ -263,10 +270,8 @@
         for host, _, _ in MACHINES:
             await fleet.wait_for_status(host, "/v2/", 200)
         fleet.store.restore(copy)
-        host, service, zone = MACHINES[0]
-        await fleet.nodes[host].close()
-        await fleet.clients[host].close()
-        await fleet.start_node(host, service, zone)
+        host = MACHINES[0][0]
+        await fleet.restart_node(host)
         await fleet.wait_for_status(host, "/v2/", 200)
 
     run(test)
@@ -307,6 +312,68 @@
     run(test)
 
 
+def test_leaving_server_gets_requests_while_the_store_is_away() -> None:
+    """Only its answers tell that it leaves, and its node may restart."""
+
+    async def test(fleet: Fleet) -> None:
+        server = fleet.servers["127.0.7.1"]
+        fleet.store.status = 503
+        server.statements = {names.SERVER_LEAVING: "1"}
+        caller = "127.0.7.2"
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
+            while not server.runs:
+                await fleet.request(caller, "/a/")
+        for _ in range(20):
+            assert (await fleet.request(caller, "/a/")).status == 200
+        assert sum(server.runs.values()) == 1
+        await fleet.restart_node("127.0.7.1")
+        for _ in range(20):
+            assert (await fleet.request(caller, "/a/")).status == 200
+            await asyncio.sleep(0.02)
+        assert sum(server.runs.values()) == 1
+
+    run(test)
+
+
+def test_server_gets_more_than_its_stated_limit_over_a_restart() -> None:
+    """The limit is for all nodes, and the node that keeps it may restart."""
+    limit_per_s, window_s = 5, 4.0
+
+    async def test(fleet: Fleet) -> None:
+        for host in ("127.0.7.1", "127.0.7.3"):
+            server = fleet.servers[host]
+            server.statements = {names.SERVER_LIMIT: str(limit_per_s)}
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + 6.0
+
+        async def send(host: str) -> None:
+            while loop.time() < end_s:
+                with contextlib.suppress(aiohttp.ClientError):
+                    await fleet.request(host, "/a/")
+                await asyncio.sleep(0.03)
+
+        callers = [
+            asyncio.create_task(send(host))
+            for host, _, _ in MACHINES
+            for _ in range(2)
+        ]
+        await asyncio.sleep(2.5)
+        await fleet.restart_node("127.0.7.1")
+        await asyncio.gather(*callers)
+        for host in ("127.0.7.1", "127.0.7.3"):
+            arrivals_s = [at_s for _, at_s in fleet.servers[host].arrivals]
+            # Nodes know the limit half a second after the first statement.
+            limited_s = [s for s in arrivals_s if s > end_s - 5.5]
+            most = max(
+                sum(start_s <= s < start_s + window_s for s in limited_s)
+                for start_s in limited_s
+            )
+            assert most <= 1.5 * window_s * limit_per_s + 5
+            assert most >= 0.5 * window_s * limit_per_s
+
+    run(test)
+
+
 def test_evacuated_zone_gets_no_requests() -> None:
     """Guards against failed requests while operators work on a zone."""
 
