--- a/magnoliafork/tests/platform/standins.py
+++ b/magnoliafork/tests/platform/standins.py
@@ -191,8 +191,9 @@
     Attributes:
         work_spans_s: Begin and end of the work on each request, loop time.
         statements: Headers of all answers, which tell about the server.
-        arrivals: Attempt ids and loop times of all requests and health checks;
-            the id of a check is empty.
+        starts: Number of its starts.
+        arrivals: Attempt ids, starts and loop times of all requests and health
+            checks; the id of a check is empty.
     """
 
     def __init__(self, host: str, server_id: str, work_s: float = 0.0) -> None:
@@ -205,7 +206,8 @@
         self.work_spans_s: dict[str, tuple[float, float]] = {}
         self.requests: list[web.BaseRequest] = []
         self.statements: dict[str, str] = {}
-        self.arrivals: list[tuple[str, float]] = []
+        self.starts = 1
+        self.arrivals: list[tuple[str, int, float]] = []
         self._runner = web.ServerRunner(
             web.Server(self._handle), shutdown_timeout=0.1
         )
@@ -222,7 +224,7 @@
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         arrived_s = asyncio.get_running_loop().time()
         attempt_id = request.headers.get(names.ATTEMPT_ID, "")
-        self.arrivals.append((attempt_id, arrived_s))
+        self.arrivals.append((attempt_id, self.starts, arrived_s))
         if request.path == "/health":
             return self._health()
         echo = {names.ATTEMPT_ID: attempt_id, **self.statements}
@@ -243,9 +245,23 @@
         echoed = f"{request.method} {request.raw_path} ".encode() + body
         return web.Response(
             body=echoed.ljust(int(request.query.get("answer_bytes", 0)), b"."),
-            headers={**echo, names.SEAL: f"seal-{self.server_id}"},
+            headers={**echo, names.SEAL: self.seal},
         )
 
+    @property
+    def seal(self) -> str:
+        """Seal of the answers of the current incarnation."""
+        return self.seal_of(self.starts)
+
+    def seal_of(self, starts: int) -> str:
+        """Returns the seal of the answers of an incarnation."""
+        return f"seal-{self.server_id}-{starts}"
+
+    def start_again(self) -> None:
+        """Begins a new incarnation under the same id."""
+        self.starts += 1
+        self.statements = {}
+
     def _health(self) -> web.Response:
         headers = {names.INSTANCE_ID: self.server_id, **self.statements}
         if names.SERVER_LEAVING in self.statements:
@@ -261,6 +277,7 @@
     state: str = "ready",
     slots: int = 4,
     sequence: int = 1,
+    starts: int = 1,
 ) -> dict[str, Any]:
     """Returns the entry that a server writes to the store."""
     return {
@@ -272,7 +289,7 @@
             "slots": slots,
         },
         "status": {"state": state, "sequence": sequence, "cold_left_ms": 0},
-        "born": 1_700_000_000_000,
+        "born": 1_700_000_000_000 + starts,
     }
 
 
--- a/magnoliafork/tests/platform/test_end_to_end.py
+++ b/magnoliafork/tests/platform/test_end_to_end.py
@@ -361,7 +361,7 @@
         await fleet.restart_node("127.0.7.1")
         await asyncio.gather(*callers)
         for host in ("127.0.7.1", "127.0.7.3"):
-            arrivals_s = [at_s for _, at_s in fleet.servers[host].arrivals]
+            arrivals_s = [at_s for _, _, at_s in fleet.servers[host].arrivals]
             # Nodes know the limit half a second after the first statement.
             limited_s = [s for s in arrivals_s if s > end_s - 5.5]
             most = max(
--- a/magnoliafork/tests/soak/fleet.py
+++ b/magnoliafork/tests/soak/fleet.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import time
+from collections.abc import Mapping
 
 import aiohttp
 import yaml
@@ -36,6 +37,15 @@
 ROOT = pathlib.Path(__file__).parents[3]
 
 
+@dataclasses.dataclass(frozen=True)
+class CallerAnswer:
+    """What a caller got; status 0 stands for no answer."""
+
+    status: int = 0
+    body: bytes = b""
+    headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
+
+
 @dataclasses.dataclass
 class Machine:
     """One machine: a server in this process and a node process beside it.
@@ -173,6 +183,7 @@
             state,
             self._slots,
             self._sequence,
+            machine.server.starts,
         )
         self.store.put(f"servers/{machine.server.server_id}", entry)
 
@@ -256,8 +267,8 @@
 
     async def send(
         self, machine: Machine, method: str, path: str, attempt_id: str
-    ) -> tuple[int, bytes]:
-        """Sends a caller's request; status 0 stands for no answer."""
+    ) -> CallerAnswer:
+        """Sends a caller's request."""
         try:
             async with self.http.request(
                 method,
@@ -270,16 +281,18 @@
                 },
                 timeout=aiohttp.ClientTimeout(total=3.0),
             ) as answer:
-                return answer.status, await answer.read()
+                body = await answer.read()
+                return CallerAnswer(answer.status, body, answer.headers)
         except (aiohttp.ClientError, TimeoutError, OSError):
-            return 0, b""
+            return CallerAnswer()
 
     async def wait_until_serving(self) -> None:
         """Waits until every node serves the newest configuration."""
         async with asyncio.timeout(START_TIMEOUT_S):
             for machine in self.machines:
                 path = f"/v{self.version}/"
-                while (await self.send(machine, "GET", path, "probe"))[
-                    0
-                ] != 200:
+                while True:
+                    answer = await self.send(machine, "GET", path, "probe")
+                    if answer.status == 200:
+                        break
                     await asyncio.sleep(0.05)
