Refuse queued requests at once that a new limit leaves no time

When an upstream began to state a limit, callers whose requests were already queued waited until their deadline and got 503 or 504 then, although the node knew that they could not be served and other upstreams were free.

Cause: the wait is estimated at admission only. Change: when a limit is stated or changes, the queue is estimated again in its order, and what could not start in its time is refused with the time by which it would be late. Elsewhere: a queue whose upstream turns cold is not estimated again, as its state is unknown for the few milliseconds of a health check first; not changed.

The new test fails without the change: of 12 queued requests with 4 s each, those beyond a new limit of 1 a second are refused after 4.1 s instead of 0.1 s.

--- a/magnoliafork/mesh/notice_monitor.py
+++ b/magnoliafork/mesh/notice_monitor.py
@@ -31,11 +31,17 @@
         table: UpstreamTable,
         clock: Callable[[], float],
         log: EventLog,
+        on_limited: Callable[[], None],
     ) -> None:
-        """Creates a monitor of an upstream that has stated nothing yet."""
+        """Creates a monitor of an upstream that has stated nothing yet.
+
+        Calls `on_limited` when a limit was stated for the first time or has
+        changed.
+        """
         self._table = table
         self._clock = clock
         self._log = log
+        self._on_limited = on_limited
         self._sent_s: collections.deque[float] = collections.deque()
         self.limiter = StatedRateLimiter()
         self.entry: UpstreamEntry | None = None
@@ -111,7 +117,7 @@
             self.limiter.record_statement(
                 notice.rate_limit_per_s, sent_s, self._clock()
             )
-            self._log_limit(entry, before_per_s, "upstream")
+            self._report_limit(entry, before_per_s, "upstream")
         if notice.is_leaving and not self.is_leaving:
             self._table.record_leaving(entry.upstream_id, entry.started_unix_ms)
             self._log.info(Event.UPSTREAM_LEAVING, upstream=entry.upstream_id)
@@ -124,9 +130,9 @@
         if limit_per_s is not None:
             before_per_s = self.limiter.limit_per_s
             self.limiter.record_copy(limit_per_s, self._clock())
-            self._log_limit(entry, before_per_s, "sender")
+            self._report_limit(entry, before_per_s, "sender")
 
-    def _log_limit(
+    def _report_limit(
         self, entry: UpstreamEntry, before_per_s: float | None, stated_by: str
     ) -> None:
         limit_per_s = self.limiter.limit_per_s
@@ -139,3 +145,5 @@
                 stated_by=stated_by,
                 sent_in_4s=self.sent_in_window,
             )
+            if limit_per_s is not None:
+                self._on_limited()
--- a/magnoliafork/mesh/receiver.py
+++ b/magnoliafork/mesh/receiver.py
@@ -31,6 +31,7 @@
     WaitingCall,
     WorkQueue,
     WorkTimes,
+    bounded_retry_after_s,
     due_s,
 )
 from magnoliafork.model.request import (
@@ -143,7 +144,7 @@
         self._down_until_s = 0.0
         self._failure_share = 0.0
         self._dispatch_timer: asyncio.TimerHandle | None = None
-        self.notices = NoticeMonitor(table, clock, log)
+        self.notices = NoticeMonitor(table, clock, log, self._on_limited)
         self._cold_monitor = ColdStateMonitor(
             address,
             self._cold_limiter,
@@ -589,6 +590,19 @@
 
     # State of the upstream.
 
+    def _on_limited(self) -> None:
+        """Refuses the queued requests that a new limit leaves no time."""
+        now_s = self._clock()
+        capacity = self._capacity(now_s, is_short=False)
+        for waiting, excess_s in self._queue.take_too_slow(capacity, now_s):
+            refusal = self._refuse(
+                waiting.item.request,
+                NotRunReason.OVERLOADED,
+                int(bounded_retry_after_s(excess_s) * 1000),
+            )
+            if not waiting.item.decision.done():
+                waiting.item.decision.set_result(refusal)
+
     def _record_result(self, is_failure: bool) -> None:
         value = 1.0 if is_failure else 0.0
         self._failure_share += (
--- a/magnoliafork/mesh/work_queue.py
+++ b/magnoliafork/mesh/work_queue.py
@@ -273,6 +273,30 @@
             self._waiting.remove(call)
         return late
 
+    def take_too_slow(
+        self, capacity: Capacity, now_s: float
+    ) -> list[tuple[WaitingCall[T], float]]:
+        """Removes the requests for which a rate limit leaves no time.
+
+        The limit may be lower than at their admission.
+
+        Returns:
+            Each request with the time by which it would wait too long.
+        """
+        if capacity.rate_limit_per_s <= 0:
+            return []
+        kept: list[WaitingCall[T]] = []
+        removed: list[tuple[WaitingCall[T], float]] = []
+        for call in self._waiting:
+            rate_wait_s = len(kept) / capacity.rate_limit_per_s
+            start_s = now_s + capacity.rate_wait_s + rate_wait_s
+            if start_s > call.wait_until_s:
+                removed.append((call, start_s - call.wait_until_s))
+            else:
+                kept.append(call)
+        self._waiting = kept
+        return removed
+
 
 def bounded_retry_after_s(seconds: float) -> float:
     """Limits the time after which a caller is asked to retry."""
--- a/magnoliafork/tests/mesh/test_stated_rate_limit.py
+++ b/magnoliafork/tests/mesh/test_stated_rate_limit.py
@@ -92,6 +92,34 @@
     run(test)
 
 
+def test_queued_requests_that_a_new_limit_leaves_no_time_are_refused() -> None:
+    """They waited until their time was up before another upstream was tried."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        upstream = FakeUpstream(work_s=0.2)
+        harness = await ReceiverHarness(upstream).announced()
+        patient = {"remaining_ms": 4000, "target_latency_ms": 4000}
+        calls = [harness.call(f"r{n}", **patient) for n in range(16)]
+        await asyncio.sleep(0.1)
+        assert harness.receiver.queued == 12
+        upstream.notice = UpstreamNotice(1.0)
+        started_s = loop.time()
+        refused_s = []
+        answered = 0
+        for call in asyncio.as_completed(calls):
+            if isinstance(await call, messages.CallRefused):
+                refused_s.append(loop.time() - started_s)
+            else:
+                answered += 1
+        assert max(refused_s) < 0.2
+        assert answered + len(refused_s) == 16
+        # Those in the slots, and those that the limit allows in their time.
+        assert answered >= OWN.slots + 2
+
+    run(test)
+
+
 def test_limit_ends_with_an_answer_that_states_none() -> None:
     """An upstream that has recovered would stay at its lowest rate."""
 
