Test that hedges keep to the attempts of their route

With a hedge allowed at the last attempt, the new test fails for one attempt (2 calls instead of 1).

--- a/magnoliafork/tests/mesh/test_sender.py
+++ b/magnoliafork/tests/mesh/test_sender.py
@@ -21,6 +21,7 @@
     NotRunReason,
     Outcome,
     OutcomeUnknown,
+    UnknownReason,
 )
 from magnoliafork.observe.logs import EventLog
 from magnoliafork.tests import virtual_time
@@ -306,6 +307,24 @@
     run(test)
 
 
+@pytest.mark.parametrize("max_attempts", [1, 2])
+def test_hedges_do_not_exceed_the_attempts_of_the_route(
+    max_attempts: int,
+) -> None:
+    """A slow service got more copies of a request than its route allows."""
+
+    async def test() -> None:
+        async def script(_: str, __: messages.CallRequest) -> Reply:
+            await asyncio.sleep(0.5)
+            return messages.CallUnknown(0, UnknownReason.UPSTREAM_BROKE.value)
+
+        setup = SenderSetup(script, max_attempts=max_attempts)
+        assert isinstance(await setup.send(), OutcomeUnknown)
+        assert len(setup.peers.calls) == max_attempts
+
+    run(test)
+
+
 def test_unrepeatable_request_is_never_hedged() -> None:
     """A request that must not run twice would run on two upstreams."""
 
