Pause a process of the bench for longer than the limit of silence

The pause of 5 s ended before a peer counts as silent, after 6 s, so that failure detection never began, against the comment beside it. It now follows from that limit.

--- a/magnoliafork/bench/process_faults.py
+++ b/magnoliafork/bench/process_faults.py
@@ -7,6 +7,7 @@
 import tempfile
 
 from magnoliafork.bench.figure import Figure, Measurement
+from magnoliafork.cluster.failure_detector import SILENCE_LIMIT_S
 from magnoliafork.standins import audit
 from magnoliafork.standins.deployments import LANAUDIERE
 from magnoliafork.standins.load_generator import Callers
@@ -16,7 +17,7 @@
 RATE_PER_S = 60.0
 # Long enough for failure detection to begin, and short enough for the node to
 # refute it: a suspected node counts as dead after 14 s.
-PAUSE_S = 5.0
+PAUSE_S = SILENCE_LIMIT_S + 2.0
 SETTLE_S = 3.0
 KILLED_INSTANCES = ("patterns-1", "commissions-2", "wool-3")
 PAUSED_INSTANCE = "commissions-1"
