--- a/magnoliafork/tests/soak/run.py
+++ b/magnoliafork/tests/soak/run.py
@@ -17,15 +17,9 @@
 
 from magnoliafork.platform import names
 from magnoliafork.tests.soak.callers import KeepAliveCaller, KeepAliveRequest
-from magnoliafork.tests.soak.fleet import CallerAnswer, Machine, SoakFleet
+from magnoliafork.tests.soak.fleet import Machine, SoakFleet
 from magnoliafork.tests.soak.losses import FaultSpan, find_losses
-from magnoliafork.tests.soak.statements import (
-    Arrival,
-    LimitSpan,
-    Told,
-    find_exceeded_limits,
-    find_late_requests,
-)
+from magnoliafork.tests.soak.statements import LimitSpan, StatementRecord
 
 CALLER_COUNT = 6
 # Keep-alive connections to each node.
@@ -70,6 +64,7 @@
     connections_per_node = CONNECTIONS_PER_NODE
     timeout_ms = 2000
     slots = 4
+    machine_count = 4
 
     def __init__(self, fleet: SoakFleet, seed: int) -> None:
         """Creates a run; the seed decides all random choices."""
@@ -83,12 +78,7 @@
         self._payment_statuses: dict[str, int] = {}
         self._fault_spans: list[FaultSpan] = []
         self._keep_alive_requests: list[KeepAliveRequest] = []
-        # Node and time of each request of the other callers, by attempt id.
-        self._sent: dict[str, tuple[str, float]] = {}
-        self._told_limits: list[Told] = []
-        self._told_leaving: list[Told] = []
-        self._limit_spans: list[LimitSpan] = []
-        self._restart_spans: list[FaultSpan] = []
+        self._statements = StatementRecord()
         # A restore begins only after the one before it is complete.
         self._copied_era = fleet.store.era
         self._start_s = asyncio.get_running_loop().time()
@@ -142,10 +132,12 @@
             is_payment = self._rng.random() < 0.4
             method = "POST" if is_payment else "GET"
             path = f"/pay/{attempt_id}" if is_payment else f"/a/{attempt_id}"
-            self._sent[attempt_id] = (machine.host, loop.time())
+            self._statements.record_sent(attempt_id, machine.host, loop.time())
             answer = await self._fleet.send(machine, method, path, attempt_id)
             status, body = answer.status, answer.body
-            self._record_statement(machine.host, answer)
+            self._statements.record_answer(
+                machine.host, answer.headers, loop.time()
+            )
             self.findings.statuses[status] += 1
             if is_payment:
                 self._payment_statuses[attempt_id] = status
@@ -160,16 +152,6 @@
                 self._add_violation(f"{attempt_id} got status 404")
             await asyncio.sleep(self._rng.random() * 0.02)
 
-    def _record_statement(self, host: str, answer: CallerAnswer) -> None:
-        seal = answer.headers.get(names.SEAL)
-        if seal is None:
-            return
-        told = Told(host, seal, asyncio.get_running_loop().time())
-        if names.SERVER_LIMIT in answer.headers:
-            self._told_limits.append(told)
-        if names.SERVER_LEAVING in answer.headers:
-            self._told_leaving.append(told)
-
     # Faults.
 
     async def _inject_faults(self, end_s: float) -> None:
@@ -211,7 +193,7 @@
         )
         self._fault_spans.append(span)
         if fault in (self._kill, self._stop, self._pause):
-            self._restart_spans.append(span)
+            self._statements.restarts.append(span)
         at_s = span.begin_s - self._start_s
         self.findings.faults.append(f"{at_s:.2f} {name} {machine.host}")
         await fault(machine)
@@ -298,7 +280,7 @@
         begin_s = asyncio.get_running_loop().time()
         await asyncio.sleep(4.0 + self._fault_rng.random() * 2.0)
         end_s = asyncio.get_running_loop().time()
-        self._limit_spans.append(
+        self._statements.limits.append(
             LimitSpan(server.seal, limit_per_s, begin_s, end_s)
         )
         server.statements = {}
@@ -368,7 +350,9 @@
             self._fault_spans,
             self.timeout_ms / 1000,
         )
-        self._check_statements()
+        self.findings.violations += self._statements.violations(
+            self._fleet.machines, self._keep_alive_requests
+        )
         self.findings.violations += self._fleet.unexpected_exits
         self.findings.late_exits = self._fleet.late_exits
         runs: collections.Counter[str] = collections.Counter()
@@ -386,28 +370,6 @@
             if "Traceback" in log or "internal_error" in log:
                 self._add_violation(f"{machine.host} logged an internal error")
 
-    def _check_statements(self) -> None:
-        sent = dict(self._sent)
-        for request in self._keep_alive_requests:
-            if request.sent_s is not None:
-                sent[request.attempt_id] = (request.host, request.sent_s)
-        arrivals = []
-        for machine in self._fleet.machines:
-            server = machine.server
-            for attempt_id, starts, at_s in server.arrivals:
-                host, sent_s = sent.get(attempt_id, (machine.host, at_s))
-                if attempt_id in sent or not attempt_id:
-                    arrivals.append(
-                        Arrival(host, server.seal_of(starts), sent_s, at_s)
-                    )
-        requests = [a for a in arrivals if a.sent_s < a.at_s]
-        self.findings.violations += find_late_requests(
-            requests, self._told_leaving, self._restart_spans
-        )
-        self.findings.violations += find_exceeded_limits(
-            arrivals, self._told_limits, self._limit_spans, self._restart_spans
-        )
-
     def _add_violation(self, text: str) -> None:
         self.findings.violations.append(text)
 
@@ -435,6 +397,7 @@
             network,
             soak_class.timeout_ms,
             soak_class.slots,
+            soak_class.machine_count,
         )
         try:
             await fleet.start()
--- a/magnoliafork/tests/soak/statements.py
+++ b/magnoliafork/tests/soak/statements.py
@@ -6,8 +6,11 @@
 
 import bisect
 import dataclasses
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
+from magnoliafork.platform import names
+from magnoliafork.tests.soak.callers import KeepAliveRequest
+from magnoliafork.tests.soak.fleet import Machine
 from magnoliafork.tests.soak.losses import FaultSpan
 
 # A leaving server gets no request that a caller sent later than this after the
@@ -64,6 +67,71 @@
     end_s: float
 
 
+class StatementRecord:
+    """What callers sent and were told in a run.
+
+    Attributes:
+        limits: Times in which servers stated limits.
+        restarts: Restarts and pauses of nodes.
+    """
+
+    def __init__(self) -> None:
+        """Creates an empty record."""
+        self.limits: list[LimitSpan] = []
+        self.restarts: list[FaultSpan] = []
+        # Node and time of each request, by attempt id.
+        self._sent: dict[str, tuple[str, float]] = {}
+        self._told_limits: list[Told] = []
+        self._told_leaving: list[Told] = []
+
+    def record_sent(self, attempt_id: str, host: str, at_s: float) -> None:
+        """Records a request that a caller sends to the node of a machine."""
+        self._sent[attempt_id] = (host, at_s)
+
+    def record_answer(
+        self, host: str, headers: Mapping[str, str], at_s: float
+    ) -> None:
+        """Records the statements in an answer that a node has passed on."""
+        if names.SEAL not in headers:
+            return
+        told = Told(host, headers[names.SEAL], at_s)
+        if names.SERVER_LIMIT in headers:
+            self._told_limits.append(told)
+        if names.SERVER_LEAVING in headers:
+            self._told_leaving.append(told)
+
+    def violations(
+        self,
+        machines: Iterable[Machine],
+        keep_alive_requests: Iterable[KeepAliveRequest],
+    ) -> list[str]:
+        """Returns descriptions of what servers got against their statements."""
+        sent = dict(self._sent)
+        for request in keep_alive_requests:
+            if request.sent_s is not None:
+                sent[request.attempt_id] = (request.host, request.sent_s)
+        requests: list[Arrival] = []
+        checks: list[Arrival] = []
+        for machine in machines:
+            server = machine.server
+            for attempt_id, starts, at_s in server.arrivals:
+                seal = server.seal_of(starts)
+                if attempt_id in sent:
+                    host, sent_s = sent[attempt_id]
+                    requests.append(Arrival(host, seal, sent_s, at_s))
+                elif not attempt_id:
+                    checks.append(Arrival(machine.host, seal, at_s, at_s))
+        return [
+            *find_late_requests(requests, self._told_leaving, self.restarts),
+            *find_exceeded_limits(
+                [*requests, *checks],
+                self._told_limits,
+                self.limits,
+                self.restarts,
+            ),
+        ]
+
+
 def find_late_requests(
     arrivals: Iterable[Arrival],
     told: Sequence[Told],
