Run the soak with a hundred node processes

The soak ran four nodes, so that links over tiers of nodes and many readers were never under its faults.

--- a/magnoliafork/tests/soak/fleet.py
+++ b/magnoliafork/tests/soak/fleet.py
@@ -100,17 +100,20 @@
         network: str,
         timeout_ms: int = 2000,
         slots: int = 4,
+        machine_count: int = 4,
     ) -> None:
-        """Creates a fleet on addresses `NETWORK.1` to `NETWORK.4`.
+        """Creates a fleet on addresses `NETWORK.1` and following.
 
-        Nodes listen for peers on `NETWORK.101` to `NETWORK.104`, behind a
-        proxy at the address that their peers know.
+        Nodes listen for peers on `NETWORK.101` and following, behind a proxy at
+        the address that their peers know.
 
         Args:
             folder: Receives settings and logs.
             network: First three bytes of the addresses.
             timeout_ms: Timeout of each route.
             slots: Requests that each server runs at a time.
+            machine_count: Number of machines, at most 100; they are dealt to
+                two services and two zones.
         """
         self._timeout_ms = timeout_ms
         self._slots = slots
@@ -125,7 +128,7 @@
             Machine(
                 f"{network}.{number + 1}",
                 "xy"[number % 2],
-                ("joliette", "rawdon")[number // 2],
+                ("joliette", "rawdon")[number // 2 % 2],
                 ServerStandIn(f"{network}.{number + 1}", f"i-{number}", 0.02),
                 LinkProxy(
                     f"{network}.{number + 1}",
@@ -133,7 +136,7 @@
                     PEER_PORT,
                 ),
             )
-            for number in range(4)
+            for number in range(machine_count)
         ]
         self.http = aiohttp.ClientSession()
 
