--- a/magnoliafork/mesh/view_sync.py
+++ b/magnoliafork/mesh/view_sync.py
@@ -392,7 +392,7 @@
     def _adopt_config(self, host: str, reply: messages.ViewReply) -> None:
         """Takes over a configuration that a peer knows from an earlier era."""
         if host in self._peers:
-            # Whatever it has sent, it has no more until it announces more.
+            # Nothing newer is to be had there until its next announcement.
             self._peers[host].config_version = 0
         delta = decode_reply(reply, self._view)
         if isinstance(delta, str):
