Let reading and ticks go on after an error that no check foresaw

Callers saw: a node that said it was ready and served the state of the moment at which its reader had ended, for as long as it ran.

Cause: an exception ended the task of the reader or of the ticks, and nothing looked at its end. It became visible only when the process stopped.

Ruled out: ending the process instead. An item that fails at one node fails at all of them, and again after each restart.

Change: the error is logged with its trace (internal_error); the reader reads the whole state again after its usual pause, and the next tick runs.

Before: both tests fail (the reader's task is done; no tick after the first error). After: both pass.

--- a/magnoliafork/mesh/node.py
+++ b/magnoliafork/mesh/node.py
@@ -1,6 +1,7 @@
 """Assembles a mesh node from its components and runs its tick."""
 
 import asyncio
+import logging
 import random
 import time
 from collections.abc import Sequence
@@ -35,6 +36,8 @@
 from magnoliafork.wire.pool import PeerPool
 from magnoliafork.wire.server import PeerServer
 
+logger = logging.getLogger("magnoliafork")
+
 TICK_S = 0.1
 READY_PATH = "/ready"
 METRICS_PATH = "/metrics"
@@ -236,7 +239,13 @@
 
     async def _run_ticks(self) -> None:
         while True:
-            self.tick()
+            try:
+                self.tick()
+            except Exception:
+                # Without ticks, the node would neither announce nor catch up.
+                logger.exception(
+                    "tick failed", extra={"event": Event.INTERNAL_ERROR.value}
+                )
             due_s = self._clock() + TICK_S
             await asyncio.sleep(TICK_S)
             delay_s = self._clock() - due_s
--- a/magnoliafork/mesh/store_reader.py
+++ b/magnoliafork/mesh/store_reader.py
@@ -1,6 +1,7 @@
 """Reads the published state from the store."""
 
 import asyncio
+import logging
 import random
 from collections.abc import Callable
 
@@ -16,6 +17,8 @@
 from magnoliafork.observe.events import Event
 from magnoliafork.observe.logs import EventLog
 
+logger = logging.getLogger("magnoliafork")
+
 # Wait of a watch, which costs one call. A dead connection is detected that much
 # later. Both times stay below the time in which a change must be in force.
 WATCH_WAIT_S = 2.0
@@ -70,12 +73,23 @@
     async def run(self) -> None:
         """Reads until it is cancelled."""
         while True:
-            if self._needs_full_read or not self._view.revision:
-                await self._read_all()
-            elif self._view_sync.is_reader or self._view_sync.is_behind:
-                await self._watch()
-            else:
-                await asyncio.sleep(READER_CHECK_INTERVAL_S)
+            try:
+                await self._step()
+            except Exception:
+                # A node that reads no more would serve an old state for ever.
+                logger.exception(
+                    "read failed", extra={"event": Event.INTERNAL_ERROR.value}
+                )
+                self._needs_full_read = True
+                await self._back_off()
+
+    async def _step(self) -> None:
+        if self._needs_full_read or not self._view.revision:
+            await self._read_all()
+        elif self._view_sync.is_reader or self._view_sync.is_behind:
+            await self._watch()
+        else:
+            await asyncio.sleep(READER_CHECK_INTERVAL_S)
 
     async def _read_all(self) -> None:
         self.call_count += 1
--- a/magnoliafork/tests/mesh/test_store_reader.py
+++ b/magnoliafork/tests/mesh/test_store_reader.py
@@ -1,13 +1,13 @@
 """Nodes tell entries that expire in a store outage from removed ones."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 import pytest
 
 from magnoliafork.mesh.published_store import HistoryGone
 from magnoliafork.mesh.store_reader import MAX_BACKOFF_S
-from magnoliafork.mesh.view import ViewDelta
+from magnoliafork.mesh.view import Change, ViewDelta
 from magnoliafork.tests.mesh import store_fleet
 from magnoliafork.tests.mesh.store_fleet import (
     DRAIN_TIMEOUT_S,
@@ -161,3 +161,28 @@
         assert store.call_count <= 2 * (10.0 / (MAX_BACKOFF_S / 2) + 5)
 
     run(test, 0)
+
+
+def test_reader_goes_on_after_an_unforeseen_error() -> None:
+    """One error in a handler of changes ended the reading of a node."""
+
+    async def test(fleet: Fleet) -> None:
+        (first, *_) = fleet.default_readers()
+        node = fleet.nodes[first]
+        errors = [RuntimeError("not foreseen")]
+
+        def fail_once(_: Sequence[Change]) -> None:
+            if errors:
+                raise errors.pop()
+
+        node.view.subscribe(fail_once)
+        fleet.store.configure(2)
+        await asyncio.sleep(3)
+        fleet.store.configure(3)
+        await asyncio.sleep(3)
+        assert not errors
+        assert not fleet.tasks[first].done()
+        assert node.view.config_version == 3
+        assert node.view_sync.has_store_access(first)
+
+    run(test, 0)
--- a/magnoliafork/tests/platform/test_end_to_end.py
+++ b/magnoliafork/tests/platform/test_end_to_end.py
@@ -343,6 +343,25 @@
     run(test)
 
 
+def test_ticks_go_on_after_an_unforeseen_error() -> None:
+    """A node without ticks neither announces nor catches up."""
+
+    async def test(fleet: Fleet) -> None:
+        node = fleet.nodes[HOST]
+        errors = [RuntimeError("not foreseen")]
+
+        def fail_once() -> None:
+            if errors:
+                raise errors.pop()
+
+        node.receiver.tick = fail_once  # type: ignore[method-assign]
+        await fleet.wait_until(lambda: not errors)
+        node.longest_tick_delay_s = -1.0
+        await fleet.wait_until(lambda: node.longest_tick_delay_s >= 0)
+
+    run(test)
+
+
 def test_configuration_that_cannot_be_read_changes_nothing() -> None:
     """Guards against a malformed publication that takes all routes away."""
 
