Bound the deadlines that callers state

Cause: the age of a request is the longest deadline of its route less its own, and the message to the peer carries it as 32 bits. The longest one was kept for ever.

Before: test_odd_deadline_of_one_caller_harms_no_other failed in both cases.

--- a/magnoliafork/mesh/sender.py
+++ b/magnoliafork/mesh/sender.py
@@ -45,6 +45,9 @@
 # answered before the deadline.
 MIN_RETRY_TIME_SHARE = 0.5
 NO_INSTANCE_RETRY_MS = 400
+# One caller with an unusual time limit makes the requests of all others seem
+# old for at most two windows.
+AGE_WINDOW_S = 30.0
 # Share of the fleet's retry budget that the senders use for extra attempts.
 # An upstream that runs a repeated request may call other services; the retries
 # of those calls count as well, so half of the budget is left for them.
@@ -77,27 +80,52 @@
     remaining_s: float | None
 
 
+@dataclasses.dataclass(slots=True)
+class _LongestTime:
+    """Longest remaining time in the current window and the one before it.
+
+    Attributes:
+        started_s: Start of the current window.
+        current_s: Longest time in the current window.
+        before_s: Longest time in the window before.
+    """
+
+    started_s: float
+    current_s: float = 0.0
+    before_s: float = 0.0
+
+    def add(self, remaining_s: float, now_s: float) -> float:
+        """Adds a time and returns the longest one."""
+        passed_s = now_s - self.started_s
+        if passed_s >= AGE_WINDOW_S:
+            is_next = passed_s < 2 * AGE_WINDOW_S
+            self.before_s = self.current_s if is_next else 0.0
+            self.current_s = 0.0
+            self.started_s = now_s
+        self.current_s = max(self.current_s, remaining_s)
+        return max(self.current_s, self.before_s)
+
+
 class RequestAgeEstimator:
     """Estimates the time since a caller's first attempt.
 
     All callers of a route start with the same time limit and state with each
-    attempt how much of it remains. The longest remaining time seen is
+    attempt how much of it remains. The longest remaining time seen lately is
     therefore that of a first attempt.
     """
 
     def __init__(self) -> None:
         """Creates an estimator without observations."""
-        self._longest_s: dict[str, float] = {}
+        self._longest_s: dict[str, _LongestTime] = {}
 
-    def age_s(self, route: MeshRoute, request: MeshRequest) -> float:
+    def age_s(
+        self, route: MeshRoute, remaining_s: float | None, now_s: float
+    ) -> float:
         """Returns the time since the caller's first attempt."""
-        if request.remaining_s is None:
-            return 0.0
-        longest_s = self._longest_s.get(route.name, 0.0)
-        if request.remaining_s >= longest_s:
-            self._longest_s[route.name] = request.remaining_s
+        if remaining_s is None:
             return 0.0
-        return longest_s - request.remaining_s
+        longest = self._longest_s.setdefault(route.name, _LongestTime(now_s))
+        return longest.add(remaining_s, now_s) - remaining_s
 
     def retain(self, config: MeshConfig) -> None:
         """Drops the observations of routes that no longer exist."""
@@ -310,6 +338,9 @@
         if request.remaining_s is not None:
             timeout_s = min(timeout_s, request.remaining_s)
         kind = int(route.target_latency_s * 1000)
+        age_s = self._age_estimator.age_s(
+            route, request.remaining_s, self._clock()
+        )
         template = messages.CallRequest(
             stream_id=0,
             request_id=request.request_id,
@@ -326,7 +357,7 @@
             is_keyed=False,
             is_first_attempt=False,
             target_latency_ms=kind,
-            age_ms=int(self._age_estimator.age_s(route, request) * 1000),
+            age_ms=int(age_s * 1000),
         )
         size = self.selector.expected_bytes(kind, len(request.body))
         return _PendingRequest(
--- a/magnoliafork/platform/header_codec.py
+++ b/magnoliafork/platform/header_codec.py
@@ -13,6 +13,9 @@
 from magnoliafork.platform import names
 from magnoliafork.proxy.headers import without_hop_by_hop
 
+# Longest time that a header can state. Messages between nodes carry times in
+# milliseconds as 32 bits.
+MAX_DURATION_S = 86_400.0
 _SUCCESS = range(200, 300)
 _MISDIRECTED = 421
 _HEALTHY = 200
@@ -126,9 +129,15 @@
 
 
 def _seconds(milliseconds: str) -> float:
-    """Converts milliseconds; a value that is no finite number counts as 0."""
+    """Converts milliseconds; a value that is no finite number counts as 0.
+
+    >>> _seconds("1500"), _seconds("-1"), _seconds("nan"), _seconds("1e300")
+    (1.5, 0.0, 0.0, 86400.0)
+    """
     try:
         seconds = float(milliseconds) / 1000
     except ValueError:
         return 0.0
-    return max(0.0, seconds) if math.isfinite(seconds) else 0.0
+    if not math.isfinite(seconds):
+        return 0.0
+    return min(max(0.0, seconds), MAX_DURATION_S)
--- a/magnoliafork/tests/mesh/test_sender.py
+++ b/magnoliafork/tests/mesh/test_sender.py
@@ -10,7 +10,12 @@
 import pytest
 
 from magnoliafork.mesh.model import WeightedService
-from magnoliafork.mesh.sender import MeshRequest, MeshSender, RetryLimits
+from magnoliafork.mesh.sender import (
+    AGE_WINDOW_S,
+    MeshRequest,
+    MeshSender,
+    RetryLimits,
+)
 from magnoliafork.mesh.upstream_table import (
     REWRITE_WINDOW_S,
     UpstreamTable,
@@ -561,3 +566,28 @@
         assert isinstance(await setup.send(), NotRun)
 
     run(test)
+
+
+def test_one_long_time_limit_does_not_make_later_requests_old_for_good() -> (
+    None
+):
+    """One odd deadline put the requests of a route behind all others."""
+
+    async def test() -> None:
+        ages_ms: list[int] = []
+
+        async def script(_: str, call: messages.CallRequest) -> Reply:
+            ages_ms.append(call.age_ms)
+            return answered()
+
+        setup = SenderSetup(script)
+        odd = dataclasses.replace(request(), remaining_s=3600.0)
+        await setup.sender.handle(odd)
+        await setup.send()
+        await asyncio.sleep(2 * AGE_WINDOW_S)
+        await setup.send()
+        assert ages_ms[0] == 0
+        assert ages_ms[1] > 0
+        assert ages_ms[2] == 0
+
+    run(test)
--- a/magnoliafork/tests/platform/test_end_to_end.py
+++ b/magnoliafork/tests/platform/test_end_to_end.py
@@ -362,6 +362,18 @@
     run(test)
 
 
+@pytest.mark.parametrize("deadline", ["1e300", "99999999999"])
+def test_odd_deadline_of_one_caller_harms_no_other(deadline: str) -> None:
+    """The ages of all later requests of the route fitted into no message."""
+
+    async def test(fleet: Fleet) -> None:
+        odd = {names.DEADLINE_MS: deadline}
+        assert (await fleet.request(HOST, "/a/", headers=odd)).status == 200
+        assert (await fleet.request(HOST, "/a/")).status == 200
+
+    run(test)
+
+
 def test_configuration_that_cannot_be_read_changes_nothing() -> None:
     """Guards against a malformed publication that takes all routes away."""
 
