Run suspects of a crash alone, and refuse them after the second crash

Cause: no part remembered what ran when an upstream ended. A repeatable request went to the next upstream at once, each attempt of a caller began anew at any node, and an upstream that had run a request and then refused connections even counted as 'not run', so that further attempts cost nothing.

Ruled out: overload of the others (the cold rate held), and retries of the sound requests (one target, and only one, was common to all logged ends).

Change: the node beside the upstream tells a crash from a lost answer by a new connection, and makes all requests that ran there suspects, by a digest of service, method, path and body. Nodes pass the records on over their control links. A suspect runs on one designated upstream, one at a time there; an answer clears it at all nodes; after the second crash it is refused with 503 and the time for which that holds (30 s, doubled by each further crash). A neighbour of an earlier release gets no records.

--- a/magnoliafork/mesh/metrics.py
+++ b/magnoliafork/mesh/metrics.py
@@ -45,6 +45,8 @@
             node.receiver.notices.limiter.limit_per_s or 0.0
         ),
         "upstream_is_leaving": int(node.receiver.notices.is_leaving),
+        "suspects": len(node.suspects),
+        "crash_records_sent_total": node.crash_reports.sent_records,
         "health_checks_total": node.receiver.health_checks,
         "upstream_connections_total": node.client.connections_opened,
         "log_lines_dropped_total": node.log.dropped_lines,
--- a/magnoliafork/mesh/node.py
+++ b/magnoliafork/mesh/node.py
@@ -6,6 +6,8 @@
 import time
 from collections.abc import Sequence
 
+from magnoliafork.mesh.crash_report_sync import CrashReportSync
+from magnoliafork.mesh.crash_suspects import CrashSuspects
 from magnoliafork.mesh.graceful_shutdown import ShutdownPlan
 from magnoliafork.mesh.header_codec import HeaderCodec
 from magnoliafork.mesh.ingress import (
@@ -29,6 +31,7 @@
 from magnoliafork.observe.logs import EventLog
 from magnoliafork.observe.metrics import Metrics
 from magnoliafork.wire import messages
+from magnoliafork.wire.api import ControlHandler
 from magnoliafork.wire.connector import Connector
 from magnoliafork.wire.control_links import ControlLinkManager
 from magnoliafork.wire.identity import NodeIdentity
@@ -75,6 +78,30 @@
         return await self._receiver.on_fence(sender_id, fence)
 
 
+class _ControlHandlers:
+    """Implements `ControlHandler`; passes everything to several handlers."""
+
+    def __init__(self, *handlers: ControlHandler) -> None:
+        self._handlers = handlers
+
+    def on_control(
+        self, instance_id: str, message: messages.ControlMessage
+    ) -> None:
+        """Handles one control message of a peer."""
+        for handler in self._handlers:
+            handler.on_control(instance_id, message)
+
+    def on_link_up(self, hello: messages.Hello) -> None:
+        """Handles a new control connection."""
+        for handler in self._handlers:
+            handler.on_link_up(hello)
+
+    def on_link_down(self, instance_id: str) -> None:
+        """Handles the loss of a control connection."""
+        for handler in self._handlers:
+            handler.on_link_down(instance_id)
+
+
 class MeshNode:
     """Wires, starts and stops the components of one node; runs its tick.
 
@@ -135,7 +162,11 @@
             clock,
             log,
         )
-        self.links.set_handler(self.view_sync)
+        self.suspects = CrashSuspects(clock, log)
+        self.crash_reports = CrashReportSync(self.suspects, self.links, clock)
+        self.links.set_handler(
+            _ControlHandlers(self.view_sync, self.crash_reports)
+        )
         self.reader = StoreReader(
             store, self.view, self.table, self.view_sync, rng, clock, log
         )
@@ -149,6 +180,7 @@
             self.client,
             header_codec,
             settings.bounds.cold_rate_factor,
+            self.suspects,
             clock,
             log,
         )
@@ -164,6 +196,7 @@
                 bounds.retry_budget_slack,
                 bounds.retry_budget_window_s,
             ),
+            self.suspects,
             rng,
             clock,
             log,
@@ -256,6 +289,8 @@
         now_s = self._clock()
         self.table.tick(now_s)
         self.view_sync.tick()
+        self.suspects.tick()
+        self.crash_reports.tick()
         self.links.close_silent(now_s)
         self.receiver.tick()
         self.metrics.tick(now_s)
--- a/magnoliafork/mesh/receiver.py
+++ b/magnoliafork/mesh/receiver.py
@@ -11,10 +11,16 @@
 from magnoliafork.admission.ledger import EntryState, Ledger, request_digest
 from magnoliafork.mesh.cold_rate_limiter import ColdRateLimiter
 from magnoliafork.mesh.cold_state_monitor import ColdStateMonitor
+from magnoliafork.mesh.crash_suspects import (
+    CrashSuspects,
+    Suspicion,
+    fingerprint,
+)
 from magnoliafork.mesh.header_codec import HeaderCodec
 from magnoliafork.mesh.model import MeshService, UpstreamEntry
 from magnoliafork.mesh.notice_monitor import NoticeMonitor
 from magnoliafork.mesh.stated_rate_limiter import from_milli, to_milli
+from magnoliafork.mesh.suspect_lane import MAX_WAIT_SHARE, SuspectLane
 from magnoliafork.mesh.upstream import (
     Upstream,
     UpstreamAnswered,
@@ -78,10 +84,12 @@
     Attributes:
         request: The request.
         decision: None once the request may be sent, or why it is not run.
+        is_alone: Whether it may run although it is a suspect of a crash.
     """
 
     request: messages.CallRequest
     decision: asyncio.Future[NotRun | None]
+    is_alone: bool
 
 
 @dataclasses.dataclass(slots=True)
@@ -115,6 +123,7 @@
         client: Upstream,
         header_codec: HeaderCodec,
         cold_rate_factor: float,
+        suspects: CrashSuspects,
         clock: Callable[[], float],
         log: EventLog,
     ) -> None:
@@ -122,7 +131,8 @@
 
         `incarnation` identifies this process; fences of calls that went to an
         earlier process are not answered from this ledger. A cold upstream
-        gets at most its service's rate times `cold_rate_factor`.
+        gets at most its service's rate times `cold_rate_factor`. `suspects` are
+        the requests that may crash the upstream.
         """
         self._address = address
         self._incarnation = incarnation
@@ -130,6 +140,10 @@
         self._table = table
         self._client = client
         self._header_codec = header_codec
+        self._suspects = suspects
+        self._suspect_lane = SuspectLane()
+        # Requests whose callers left while they waited in the lane.
+        self._abandoned: set[str] = set()
         self._clock = clock
         self._log = log
         self._cold_limiter = ColdRateLimiter(cold_rate_factor)
@@ -187,7 +201,10 @@
     def is_idle(self) -> bool:
         """Whether no request runs or waits."""
         return (
-            not self._active and not len(self._queue) and not self._once_tasks
+            not self._active
+            and not len(self._queue)
+            and not self._once_tasks
+            and self._suspect_lane.is_idle
         )
 
     def _entry(self) -> UpstreamEntry | None:
@@ -274,9 +291,7 @@
                 )
             task = asyncio.create_task(self._run_once(request))
             self._once_tasks[request_id] = task
-            task.add_done_callback(
-                lambda _: self._once_tasks.pop(request_id, None)
-            )
+            task.add_done_callback(lambda _: self._forget_once(request_id))
         try:
             return await asyncio.shield(task)
         except asyncio.CancelledError:
@@ -285,6 +300,10 @@
             self._drop_waiting(request_id)
             raise
 
+    def _forget_once(self, request_id: str) -> None:
+        self._once_tasks.pop(request_id, None)
+        self._abandoned.discard(request_id)
+
     async def _run_once(self, request: messages.CallRequest) -> Outcome:
         outcome = await self._serve(request)
         now_s = self._clock()
@@ -304,23 +323,77 @@
                         NotRun(NotRunReason.DEADLINE)
                     )
                 return
+        if request_id in self._once_tasks and not self._suspect_lane.is_idle:
+            self._abandoned.add(request_id)
 
     # One request.
 
     async def _serve(self, request: messages.CallRequest) -> Outcome:
+        deadline_s = self._clock() + request.remaining_ms / 1000
+        suspicion = self._suspicion(request)
+        if suspicion is None:
+            return await self._admit(request, deadline_s)
+        if suspicion.is_refused:
+            return self._refuse_suspect(request, suspicion.refused_for_s)
+        work_s = self._work_times.work_s(request.target_latency_ms)
+        max_wait_s = request.remaining_ms / 1000 * MAX_WAIT_SHARE
+        wait_s = self._suspect_lane.wait_s(work_s)
+        if wait_s > max_wait_s:
+            retry_ms = int(bounded_retry_after_s(wait_s) * 1000)
+            return self._refuse(request, NotRunReason.OVERLOADED, retry_ms)
+        async with self._suspect_lane.enter(max_wait_s) as has_entered:
+            if not has_entered:
+                return self._refuse(
+                    request, NotRunReason.OVERLOADED, EXPIRED_RETRY_MS
+                )
+            if request.request_id in self._abandoned:
+                return NotRun(NotRunReason.DEADLINE)
+            # It may have crashed another upstream meanwhile.
+            suspicion = self._suspicion(request)
+            if suspicion is not None and suspicion.is_refused:
+                return self._refuse_suspect(request, suspicion.refused_for_s)
+            return await self._admit(request, deadline_s, is_alone=True)
+
+    def _suspicion(self, request: messages.CallRequest) -> Suspicion | None:
+        return self._suspects.suspicion(
+            request.service_name, request.method, request.path, request.body
+        )
+
+    def _refuse_suspect(
+        self, request: messages.CallRequest, refused_for_s: float
+    ) -> NotRun:
+        return self._refuse(
+            request,
+            NotRunReason.CRASHES_UPSTREAM,
+            int(refused_for_s * 1000),
+        )
+
+    async def _admit(
+        self,
+        request: messages.CallRequest,
+        deadline_s: float,
+        *,
+        is_alone: bool = False,
+    ) -> Outcome:
+        """Queues a request and runs it.
+
+        Args:
+            request: The request.
+            deadline_s: Time at which its caller gives up.
+            is_alone: Whether no other suspect of a crash can run meanwhile.
+        """
         now_s = self._clock()
         unavailable = self._unavailable_reason(request.service_name)
         if unavailable is not None:
             return self._refuse(
                 request, unavailable, self._unavailable_retry_ms(unavailable)
             )
-        deadline_s = now_s + request.remaining_ms / 1000
         target_latency_s = request.target_latency_ms / 1000
         target_s = now_s + target_latency_s - request.age_ms / 1000
         work_s = self._work_times.work_s(request.target_latency_ms)
         self._request_mix.note(request.target_latency_ms)
         queued_request = _QueuedRequest(
-            request, asyncio.get_running_loop().create_future()
+            request, asyncio.get_running_loop().create_future(), is_alone
         )
         waiting = WaitingCall(
             queued_request,
@@ -382,6 +455,7 @@
                 request.target_latency_ms, now_s - started_s
             )
             self._record_result(result.status >= _SERVER_ERROR)
+            self._clear_suspect(request)
             return Answered(result.status, result.headers, result.body)
         if isinstance(result, UpstreamNotRun):
             return self._not_run(request, result)
@@ -393,10 +467,40 @@
             detail=result.detail,
             after_ms=int((now_s - started_s) * 1000),
         )
+        if result.has_crashed and self._has_crashed(request, result.detail):
+            return OutcomeUnknown(UnknownReason.UPSTREAM_CRASHED)
         if now_s >= deadline_s:
             return OutcomeUnknown(UnknownReason.UPSTREAM_TIMEOUT)
         return OutcomeUnknown(UnknownReason.UPSTREAM_BROKE)
 
+    def _has_crashed(self, request: messages.CallRequest, detail: str) -> bool:
+        """Handles the end of the upstream while it ran a request.
+
+        Returns:
+            False if the upstream was about to leave.
+        """
+        self._down_until_s = self._clock() + DOWN_PAUSE_S
+        self._cold_monitor.mark_unknown(detail)
+        entry = self._entry()
+        if (
+            entry is None
+            or not entry.is_ready
+            or self._table.is_leaving(entry)
+            or self._view.upstreams.get(entry.upstream_id) is not entry
+        ):
+            return False
+        self._log.warning(
+            Event.UPSTREAM_CRASHED,
+            request_id=request.request_id,
+            upstream=entry.upstream_id,
+        )
+        self._suspects.record_crash(_fingerprint(request), entry)
+        return True
+
+    def _clear_suspect(self, request: messages.CallRequest) -> None:
+        if len(self._suspects):
+            self._suspects.record_answer(_fingerprint(request))
+
     async def _send(
         self, request: messages.CallRequest, deadline_s: float
     ) -> UpstreamResult:
@@ -534,6 +638,15 @@
             unavailable = self._unavailable_reason(request.service_name)
             if waiting.item.decision.done():
                 continue
+            suspicion = self._suspicion(request)
+            if suspicion is not None and (
+                suspicion.is_refused or not waiting.item.is_alone
+            ):
+                # It became one, or crashed another upstream, while it waited.
+                waiting.item.decision.set_result(
+                    self._refuse_suspect(request, suspicion.refused_for_s)
+                )
+                continue
             if unavailable is not None:
                 waiting.item.decision.set_result(
                     self._refuse(
@@ -689,3 +802,9 @@
             int(min(wait_s, MAX_RATE_WAIT_S) * 1000),
             is_leaving,
         )
+
+
+def _fingerprint(request: messages.CallRequest) -> bytes:
+    return fingerprint(
+        request.service_name, request.method, request.path, request.body
+    )
--- a/magnoliafork/mesh/sender.py
+++ b/magnoliafork/mesh/sender.py
@@ -8,6 +8,12 @@
 from collections.abc import Callable
 
 from magnoliafork.balance.retry import RetryBudget
+from magnoliafork.mesh.crash_suspects import (
+    CrashSuspects,
+    Suspicion,
+    designated_upstream,
+    fingerprint,
+)
 from magnoliafork.mesh.model import MeshConfig, MeshRoute, UpstreamEntry
 from magnoliafork.mesh.routes import RouteIndex, WeightedSplit
 from magnoliafork.mesh.upstream_selector import RequestProfile, UpstreamSelector
@@ -239,6 +245,7 @@
         table: UpstreamTable,
         peers: PeerCalls,
         limits: RetryLimits,
+        suspects: CrashSuspects,
         rng: random.Random,
         clock: Callable[[], float],
         log: EventLog,
@@ -252,6 +259,7 @@
             table: Upstreams that may get requests.
             peers: Connections to other nodes.
             limits: Limits on the extra attempts of the fleet.
+            suspects: Requests that may crash their upstreams.
             rng: Source of random choices; seeded in tests.
             clock: Time in seconds; the loop's clock.
             log: Receives the events.
@@ -260,6 +268,7 @@
         self._view = view
         self._table = table
         self._limits = limits
+        self._suspects = suspects
         self._clock = clock
         self._log = log
         self._record_latency = record_latency
@@ -374,7 +383,14 @@
         self._budget(pending.service).add_request()
         last = NotRun(NotRunReason.NO_INSTANCE, NO_INSTANCE_RETRY_MS)
         for tries in range(MAX_UPSTREAMS_TRIED):
-            entry = self._choose(pending)
+            suspicion = self._suspicion(pending)
+            if suspicion is not None and suspicion.is_refused:
+                last = NotRun(
+                    NotRunReason.CRASHES_UPSTREAM,
+                    int(suspicion.refused_for_s * 1000),
+                )
+                return self._final_outcome(pending, last)
+            entry = self._choose(pending, suspicion)
             if entry is None:
                 break
             if tries:
@@ -387,7 +403,10 @@
                     upstream=entry.upstream_id,
                     reached=pending.reached,
                 )
-            result = await self._attempt_with_hedge(pending, entry)
+            if suspicion is None:
+                result = await self._attempt_with_hedge(pending, entry)
+            else:
+                result = await self._attempt_once(pending, entry)
             if isinstance(result, Answered):
                 if not self._should_retry(pending, result):
                     return result
@@ -398,7 +417,9 @@
                     return result
             else:
                 last = self._record_refusal(pending, result)
-                if last.reason is NotRunReason.DEADLINE:
+                if last.reason is NotRunReason.DEADLINE or (
+                    _is_refused_suspect(last)
+                ):
                     break
                 if self._clock() - pending.started_s > (
                     pending.route.target_latency_s * RETRY_TIME_SHARE
@@ -432,6 +453,8 @@
             return pending.answered
         if pending.unknown is not None:
             return pending.unknown
+        if _is_refused_suspect(last):
+            return last
         retry_ms = pending.retry_after_ms or last.retry_after_ms
         retry_s = bounded_retry_after_s(retry_ms / 1000)
         return NotRun(last.reason, int(retry_s * 1000))
@@ -447,9 +470,22 @@
             return OutcomeUnknown(UnknownReason.UPSTREAM_TIMEOUT)
         return OutcomeUnknown(UnknownReason.NO_REPLY)
 
-    def _choose(self, pending: _PendingRequest) -> UpstreamEntry | None:
+    def _suspicion(self, pending: _PendingRequest) -> Suspicion | None:
+        request = pending.request
+        return self._suspects.suspicion(
+            pending.service, request.method, request.target, request.body
+        )
+
+    def _choose(
+        self, pending: _PendingRequest, suspicion: Suspicion | None = None
+    ) -> UpstreamEntry | None:
         entries = self._candidates_of(pending.service)
-        entry = self.selector.choose(entries, pending.tried, pending.profile)
+        if suspicion is not None:
+            entry = designated_upstream(entries, pending.tried, suspicion)
+        else:
+            entry = self.selector.choose(
+                entries, pending.tried, pending.profile
+            )
         if entry is not None:
             pending.tried[entry.host] = entry.upstream_id
         return entry
@@ -539,6 +575,9 @@
     def _start_hedge(
         self, pending: _PendingRequest
     ) -> asyncio.Task[Outcome | Moved] | None:
+        # A suspect runs only once at a time.
+        if self._suspicion(pending) is not None:
+            return None
         entry = self._choose(pending)
         if entry is None:
             return None
@@ -572,6 +611,19 @@
             and result.reason not in _REACHED_UPSTREAM
         ):
             pending.reached -= 1
+        if isinstance(result, OutcomeUnknown) and (
+            result.reason is UnknownReason.UPSTREAM_CRASHED
+        ):
+            request = pending.request
+            self._suspects.record_crash(
+                fingerprint(
+                    pending.service,
+                    request.method,
+                    request.target,
+                    request.body,
+                ),
+                entry,
+            )
         return result
 
     # Counters, latencies and logs.
@@ -610,6 +662,14 @@
         )
 
 
+def _is_refused_suspect(result: NotRun) -> bool:
+    """Whether a request is refused for a time because it crashes upstreams."""
+    return (
+        result.reason is NotRunReason.CRASHES_UPSTREAM
+        and result.retry_after_ms > 0
+    )
+
+
 async def _best_result(
     tasks: list[asyncio.Task[Outcome | Moved]],
 ) -> Outcome | Moved:
--- a/magnoliafork/mesh/upstream.py
+++ b/magnoliafork/mesh/upstream.py
@@ -94,10 +94,12 @@
     Attributes:
         detail: Cause for logs.
         is_connection_lost: Whether the connection ended without an answer.
+        has_crashed: Whether the upstream accepts no connection any more.
     """
 
     detail: str
     is_connection_lost: bool
+    has_crashed: bool = False
 
 
 UpstreamResult = UpstreamAnswered | UpstreamNotRun | UpstreamUnknown
@@ -118,6 +120,19 @@
         ...
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ConnectFailure:
+    """A connection that could not be opened.
+
+    Attributes:
+        detail: Cause for logs.
+        is_refused: Whether nothing listens on the upstream's port.
+    """
+
+    detail: str
+    is_refused: bool
+
+
 class UpstreamClient:
     """Reuses connections to one address and matches answers to requests.
 
@@ -164,16 +179,43 @@
                 isinstance(result, HttpFailure) and not result.has_answer_begun
             )
             if not is_stale or not call.is_repeatable:
-                return self._classify(call, result)
+                return await self._classify_checked(call, result)
+        connection = await self._connect()
+        if isinstance(connection, _ConnectFailure):
+            if reused is None:
+                return UpstreamNotRun(connection.detail, was_sent=False)
+            # The request was sent on the connection that was lost.
+            return UpstreamUnknown(
+                connection.detail, True, has_crashed=connection.is_refused
+            )
+        return await self._classify_checked(
+            call, await self._exchange(connection, call)
+        )
+
+    async def _classify_checked(
+        self, call: UpstreamCall, result: HttpAnswer | HttpFailure
+    ) -> UpstreamResult:
+        """Classifies a result; tells whether a lost upstream has crashed."""
+        classified = self._classify(call, result)
+        if (
+            not isinstance(classified, UpstreamUnknown)
+            or not classified.is_connection_lost
+        ):
+            return classified
         connection = await self._connect()
-        if isinstance(connection, str):
-            return UpstreamNotRun(connection, was_sent=reused is not None)
-        return self._classify(call, await self._exchange(connection, call))
+        if isinstance(connection, HttpConnection):
+            # It lost a connection or an answer, and is there. The next request
+            # uses the new connection.
+            self._keep(connection)
+            return classified
+        return dataclasses.replace(
+            classified, has_crashed=connection.is_refused
+        )
 
     async def health(self, path: str) -> HealthHeaders | None:
         """Sends a health check; see `Upstream.health`."""
         connection = await self._connect()
-        if isinstance(connection, str):
+        if isinstance(connection, _ConnectFailure):
             return None
         host = f"{self._address[0]}:{self._address[1]}"
         try:
@@ -205,7 +247,7 @@
             self._idle.pop().close()
         return None
 
-    async def _connect(self) -> HttpConnection | str:
+    async def _connect(self) -> HttpConnection | _ConnectFailure:
         loop = asyncio.get_running_loop()
         turns = self._turns = self._turns or ParseTurns(loop)
         try:
@@ -214,7 +256,10 @@
                     lambda: HttpConnection(loop, turns), *self._address
                 )
         except (OSError, TimeoutError) as error:
-            return f"cannot connect: {type(error).__name__} {error}"
+            return _ConnectFailure(
+                f"cannot connect: {type(error).__name__} {error}",
+                is_refused=isinstance(error, ConnectionRefusedError),
+            )
         self.connections_opened += 1
         self._open.add(connection)
         connection.on_closed = self._forget
--- a/magnoliafork/mesh/upstream_selector.py
+++ b/magnoliafork/mesh/upstream_selector.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Container, Sequence
 
 from magnoliafork.mesh.model import UpstreamEntry
+from magnoliafork.model.request import NotRunReason
 from magnoliafork.proxy.attempt import is_failure
 from magnoliafork.wire import messages
 from magnoliafork.wire.api import LinkFailure
@@ -162,7 +163,9 @@
         if isinstance(reply, messages.CallAnswer):
             self._record_size(request.target_latency_ms, len(reply.body))
         if isinstance(reply, messages.CallRefused):
-            state.refused_until_s = now_s + reply.retry_after_ms / 1000
+            # A refusal of one suspect says nothing about other requests.
+            if reply.reason != NotRunReason.CRASHES_UPSTREAM:
+                state.refused_until_s = now_s + reply.retry_after_ms / 1000
         elif is_failure(reply, waited_s):
             state.failure_share = min(1.0, state.failure_share + 0.1)
             state.failures_at_s = now_s
--- a/magnoliafork/mesh/view_sync.py
+++ b/magnoliafork/mesh/view_sync.py
@@ -283,6 +283,7 @@
             self._view.era,
             era_age_ms,
             self._view.config_version,
+            accepts_crash_reports=True,
         )
 
     def _known_fleet(self) -> reader_selection.Fleet:
--- a/magnoliafork/model/request.py
+++ b/magnoliafork/model/request.py
@@ -25,6 +25,7 @@
     STALE_VIEW = "stale_view"
     KEY_REUSED = "key_reused"
     MOVED = "moved"
+    CRASHES_UPSTREAM = "crashes_upstream"
 
 
 class UnknownReason(enum.StrEnum):
@@ -33,6 +34,7 @@
     NO_REPLY = "no_reply"
     RECEIVER_RESTARTED = "receiver_restarted"
     UPSTREAM_BROKE = "upstream_broke"
+    UPSTREAM_CRASHED = "upstream_crashed"
     UPSTREAM_TIMEOUT = "upstream_timeout"
     HOME_CHANGED = "home_changed"
     ANSWER_FORGOTTEN = "answer_forgotten"
--- a/magnoliafork/tests/mesh/receiver_harness.py
+++ b/magnoliafork/tests/mesh/receiver_harness.py
@@ -4,6 +4,7 @@
 import io
 from collections.abc import Awaitable, Callable
 
+from magnoliafork.mesh.crash_suspects import CrashSuspects
 from magnoliafork.mesh.header_codec import HealthHeaders, UpstreamNotice
 from magnoliafork.mesh.receiver import MeshReceiver
 from magnoliafork.mesh.upstream import (
@@ -75,6 +76,8 @@
         self.published = PublishedState()
         self.table = UpstreamTable(self.published.view, loop.time, 2.0)
         self.upstream = upstream or FakeUpstream()
+        log = EventLog("error", io.StringIO())
+        self.suspects = CrashSuspects(loop.time, log)
         self.receiver = MeshReceiver(
             (OWN.host, OWN.port),
             INCARNATION,
@@ -83,8 +86,9 @@
             self.upstream,
             PlatformHeaderCodec(),
             COLD_RATE_FACTOR,
+            self.suspects,
             loop.time,
-            EventLog("error", io.StringIO()),
+            log,
         )
         cold = service(cold_requests_per_s=COLD_PER_S)
         self.published.configure(config(services=(cold,)))
--- a/magnoliafork/tests/mesh/test_receiver.py
+++ b/magnoliafork/tests/mesh/test_receiver.py
@@ -1,14 +1,19 @@
 """Admission, queue and outcomes of the receiver."""
 
 import asyncio
+import dataclasses
 import io
 import random
 
 import pytest
 
+from magnoliafork.mesh.crash_suspects import CrashSuspects, fingerprint
 from magnoliafork.mesh.header_codec import UpstreamNotice
 from magnoliafork.mesh.receiver import MeshReceiver
 from magnoliafork.mesh.upstream import (
+    UpstreamAnswered,
+    UpstreamCall,
+    UpstreamResult,
     UpstreamUnknown,
 )
 from magnoliafork.mesh.upstream_table import UpstreamTable
@@ -357,6 +362,131 @@
     run(test)
 
 
+class GatedUpstream(FakeUpstream):
+    """Ends each request with the result that a test sets."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.running: list[asyncio.Future[UpstreamResult]] = []
+
+    async def send(self, call: UpstreamCall) -> UpstreamResult:
+        del call
+        self.running.append(asyncio.get_running_loop().create_future())
+        return await self.running[-1]
+
+    def crash(self) -> None:
+        """Ends all running requests."""
+        running, self.running = self.running, []
+        for request_end in running:
+            request_end.set_result(
+                UpstreamUnknown("reset", True, has_crashed=True)
+            )
+
+
+def test_requests_that_ran_in_a_crash_run_one_at_a_time() -> None:
+    """All of them together would crash the upstream with the deadly one."""
+
+    async def test() -> None:
+        upstream = GatedUpstream()
+        harness = await ReceiverHarness(upstream).announced()
+        paths = ("/1", "/2", "/3")
+        calls = [harness.call(path, path=path) for path in paths]
+        await asyncio.sleep(0.01)
+        upstream.crash()
+        for call in calls:
+            reply = await call
+            assert isinstance(reply, messages.CallUnknown)
+            assert reply.reason == "upstream_crashed"
+        await asyncio.sleep(1.0)
+        calls = [harness.call(f"{path}-2", path=path) for path in paths]
+        others = [harness.call(f"o{n}", path=f"/o{n}") for n in range(2)]
+        await asyncio.sleep(0.01)
+        assert len(upstream.running) == 1 + len(others)
+        while upstream.running:
+            end = upstream.running.pop(0)
+            end.set_result(UpstreamAnswered(200, (), b""))
+            await asyncio.sleep(0.01)
+        for call in (*calls, *others):
+            assert isinstance(await call, messages.CallAnswer)
+        assert not any(
+            harness.suspects.suspicion("catalogue", "GET", path, b"")
+            for path in paths
+        )
+
+    run(test)
+
+
+def test_queued_request_that_becomes_a_suspect_does_not_run() -> None:
+    """It would run beside other requests, as if it were none."""
+
+    async def test() -> None:
+        upstream = GatedUpstream()
+        harness = await ReceiverHarness(upstream).announced()
+        running = [harness.call(f"r{n}", path=f"/{n}") for n in range(4)]
+        queued = harness.call("queued", path="/suspect")
+        await asyncio.sleep(0.01)
+        key = fingerprint("catalogue", "GET", "/suspect", b"")
+        harness.suspects.record_crash(key, entry("b"))
+        upstream.running[0].set_result(UpstreamAnswered(200, (), b""))
+        reply = await queued
+        assert isinstance(reply, messages.CallRefused)
+        assert reply.reason == "crashes_upstream"
+        assert len(upstream.running) == 4
+        for end in upstream.running[1:]:
+            end.set_result(UpstreamAnswered(200, (), b""))
+        await asyncio.gather(*running)
+
+    run(test)
+
+
+@pytest.mark.parametrize("is_announced", [True, False])
+def test_end_of_an_upstream_that_leaves_is_no_crash(is_announced: bool) -> None:
+    """Requests that a planned stop cut would count as suspects."""
+
+    async def test() -> None:
+        upstream = GatedUpstream()
+        harness = await ReceiverHarness(upstream).announced()
+        call = harness.call()
+        await asyncio.sleep(0.01)
+        if is_announced:
+            draining = dataclasses.replace(OWN, is_ready=False)
+            harness.published.announce(draining)
+        else:
+            harness.published.withdraw(OWN)
+        upstream.crash()
+        reply = await call
+        assert isinstance(reply, messages.CallUnknown)
+        assert reply.reason == "upstream_broke"
+        assert len(harness.suspects) == 0
+
+    run(test)
+
+
+def test_suspect_whose_caller_left_does_not_run() -> None:
+    """A request that may not be repeated would run for nobody."""
+
+    async def test() -> None:
+        upstream = GatedUpstream()
+        harness = await ReceiverHarness(upstream).announced()
+        for path in ("/1", "/2"):
+            key = fingerprint("catalogue", "POST", path, b"")
+            harness.suspects.record_crash(key, entry("b"))
+        calls = [
+            harness.call(path, path=path, method="POST", repeatable=False)
+            for path in ("/1", "/2")
+        ]
+        await asyncio.sleep(0.01)
+        calls[1].cancel()
+        await asyncio.sleep(0.01)
+        upstream.running[0].set_result(UpstreamAnswered(200, (), b""))
+        assert isinstance(await calls[0], messages.CallAnswer)
+        await asyncio.sleep(0.01)
+        assert len(upstream.running) == 1
+        assert harness.receiver.is_idle
+
+    run(test)
+
+
 def test_node_without_a_configuration_refuses() -> None:
     """Logs of a starting node would blame a missing upstream for refusals."""
 
@@ -364,6 +494,7 @@
         loop = asyncio.get_running_loop()
         published = PublishedState()
         upstream = FakeUpstream()
+        log = EventLog("error", io.StringIO())
         receiver = MeshReceiver(
             (OWN.host, OWN.port),
             INCARNATION,
@@ -372,8 +503,9 @@
             upstream,
             PlatformHeaderCodec(),
             COLD_RATE_FACTOR,
+            CrashSuspects(loop.time, log),
             loop.time,
-            EventLog("error", io.StringIO()),
+            log,
         )
         for has_entry in (False, True):
             if has_entry:
--- a/magnoliafork/tests/mesh/test_sender.py
+++ b/magnoliafork/tests/mesh/test_sender.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from magnoliafork.mesh.crash_suspects import CrashSuspects
 from magnoliafork.mesh.model import WeightedService
 from magnoliafork.mesh.sender import (
     AGE_WINDOW_S,
@@ -108,15 +109,18 @@
         self.published = PublishedState()
         self.table = UpstreamTable(self.published.view, loop.time, 2.0)
         self.peers = FakePeers(script)
+        log = EventLog("error", io.StringIO())
+        self.suspects = CrashSuspects(loop.time, log)
         self.sender = MeshSender(
             "joliette",
             self.published.view,
             self.table,
             self.peers,
             limits,
+            self.suspects,
             random.Random(3),
             loop.time,
-            EventLog("error", io.StringIO()),
+            log,
             lambda service, seconds: self.latencies.append((service, seconds)),
         )
         self.published.configure(config(routes=(route(**changes),)))
--- a/magnoliafork/tests/mesh/test_upstream.py
+++ b/magnoliafork/tests/mesh/test_upstream.py
@@ -1,11 +1,17 @@
-"""Health checks over a loopback connection."""
+"""Health checks and ends of the upstream over a loopback connection."""
 
 import asyncio
 
 import pytest
 
 from magnoliafork.mesh.header_codec import HealthHeaders, UpstreamNotice
-from magnoliafork.mesh.upstream import UpstreamClient
+from magnoliafork.mesh.upstream import (
+    UpstreamAnswered,
+    UpstreamCall,
+    UpstreamClient,
+    UpstreamResult,
+    UpstreamUnknown,
+)
 from magnoliafork.platform import names
 from magnoliafork.platform.header_codec import PlatformHeaderCodec
 
@@ -73,3 +79,75 @@
     """Guards against an upstream that counts as cold without an end."""
     result = asyncio.run(_health(status, headers))
     assert result == HealthHeaders("i-1", cold_left_s)
+
+
+def _call(number: int, *, is_repeatable: bool) -> UpstreamCall:
+    attempt_id = f"id{number}"
+    headers = (("Host", HOST), (names.ATTEMPT_ID, attempt_id))
+    return UpstreamCall("GET", "/", headers, b"", attempt_id, is_repeatable)
+
+
+async def _last_result(
+    answers: int, *, is_repeatable: bool, crashes: bool
+) -> UpstreamResult:
+    """Sends requests on one connection; the last one gets no answer.
+
+    The upstream ends with it, or closes the connection only.
+    """
+
+    async def respond(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        for number in range(answers):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(
+                f"HTTP/1.1 200 OK\r\n{names.SEAL}: s\r\nContent-Length: 0\r\n"
+                f"{names.ATTEMPT_ID}: id{number}\r\n\r\n".encode()
+            )
+        # A connection of the check for a crash carries no request.
+        await reader.read(1)
+        if crashes:
+            server.close()
+        writer.transport.abort()
+
+    server = await asyncio.start_server(respond, HOST, 0)
+    port = server.sockets[0].getsockname()[1]
+    loop = asyncio.get_running_loop()
+    client = UpstreamClient(HOST, port, PlatformHeaderCodec(), loop.time)
+    try:
+        async with asyncio.timeout(TIMEOUT_S):
+            for number in range(answers):
+                call = _call(number, is_repeatable=is_repeatable)
+                answered = await client.send(call)
+                assert isinstance(answered, UpstreamAnswered)
+            call = _call(answers, is_repeatable=is_repeatable)
+            return await client.send(call)
+    finally:
+        await client.close()
+        server.close()
+        # The upstream's side of the connections ends too.
+        await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize("is_repeatable", [False, True])
+@pytest.mark.parametrize("answers", [0, 1])
+def test_end_of_the_upstream_under_a_request_is_a_crash(
+    answers: int, is_repeatable: bool
+) -> None:
+    """A request that had run was told as not run, and ran elsewhere freely."""
+    result = asyncio.run(
+        _last_result(answers, is_repeatable=is_repeatable, crashes=True)
+    )
+    assert isinstance(result, UpstreamUnknown)
+    assert result.has_crashed
+
+
+@pytest.mark.parametrize("is_repeatable", [False, True])
+def test_lost_answer_is_no_crash(is_repeatable: bool) -> None:
+    """Each lost answer would make its request a suspect."""
+    result = asyncio.run(
+        _last_result(0, is_repeatable=is_repeatable, crashes=False)
+    )
+    assert isinstance(result, UpstreamUnknown)
+    assert result.is_connection_lost
+    assert not result.has_crashed
--- a/magnoliafork/tests/platform/standins.py
+++ b/magnoliafork/tests/platform/standins.py
@@ -186,12 +186,13 @@
     """An upstream that echoes its requests and counts its runs.
 
     The query of a request may set its time of work, `work_ms`, and the least
-    length of its answer, `answer_bytes`.
+    length of its answer, `answer_bytes`; with `crash`, it ends the server.
 
     Attributes:
         work_spans_s: Begin and end of the work on each request, loop time.
         statements: Headers of all answers, which tell about the server.
         starts: Number of its starts.
+        crashes: Number of its ends by requests.
         arrivals: Attempt ids, starts and loop times of all requests and health
             checks; the id of a check is empty.
     """
@@ -208,9 +209,9 @@
         self.statements: dict[str, str] = {}
         self.starts = 1
         self.arrivals: list[tuple[str, int, float]] = []
-        self._runner = web.ServerRunner(
-            web.Server(self._handle), shutdown_timeout=0.1
-        )
+        self.crashes = 0
+        self._server = web.Server(self._handle)
+        self._runner = web.ServerRunner(self._server, shutdown_timeout=0.1)
 
     async def start(self) -> None:
         """Listens on the server's port."""
@@ -221,6 +222,15 @@
         """Closes all connections."""
         await self._runner.cleanup()
 
+    async def crash(self) -> None:
+        """Ends the server at once, with all requests that it runs."""
+        self.crashes += 1
+        for site in list(self._runner.sites):
+            await site.stop()
+        for connection in list(self._server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         arrived_s = asyncio.get_running_loop().time()
         attempt_id = request.headers.get(names.ATTEMPT_ID, "")
@@ -240,6 +250,8 @@
         now_s = asyncio.get_running_loop().time()
         self.work_spans_s[attempt_id] = (now_s, now_s + work_s)
         await asyncio.sleep(work_s)
+        if "crash" in request.query:
+            await self.crash()
         if self.loses_answers and request.transport is not None:
             request.transport.abort()
         echoed = f"{request.method} {request.raw_path} ".encode() + body
--- a/magnoliafork/tests/platform/test_end_to_end.py
+++ b/magnoliafork/tests/platform/test_end_to_end.py
@@ -374,6 +374,33 @@
     run(test)
 
 
+def test_request_that_crashes_its_upstream_is_refused_at_all_nodes() -> None:
+    """Each attempt of its caller ended further upstreams of the service."""
+
+    async def test(fleet: Fleet) -> None:
+        sound = asyncio.create_task(
+            fleet.request("127.0.7.1", "/a/sound?work_ms=300")
+        )
+        await asyncio.sleep(0.1)
+        first = await fleet.request("127.0.7.2", "/a/?crash=1&work_ms=50")
+        assert first.status == 502
+        assert sum(server.crashes for server in fleet.servers.values()) == 2
+        await sound
+        for host in ("127.0.7.1", "127.0.7.3"):
+            server = fleet.servers[host]
+            await server.stop()
+            fleet.servers[host] = ServerStandIn(host, f"i-{host}")
+            await fleet.servers[host].start()
+        await fleet.wait_for_status("127.0.7.4", "/a/sound", 200)
+        for host, _, _ in MACHINES:
+            again = await fleet.request(host, "/a/?crash=1&work_ms=50")
+            assert again.status == 503
+            assert float(again.headers["Retry-After"]) > 20
+            assert (await fleet.request(host, "/a/sound")).status == 200
+
+    run(test)
+
+
 def test_configuration_that_cannot_be_read_changes_nothing() -> None:
     """Guards against a malformed publication that takes all routes away."""
 
--- a/magnoliafork/wire/codec.py
+++ b/magnoliafork/wire/codec.py
@@ -52,11 +52,16 @@
     messages.ViewRequest,
     messages.ViewReply,
     messages.GoAway,
+    messages.CrashReports,
 )
 _KIND_BY_TYPE = {
     message_type: number for number, message_type in enumerate(_MESSAGE_TYPES)
 }
-_ENTRY_TYPES = (messages.PartEntry, messages.MemberEntry)
+_ENTRY_TYPES = (
+    messages.PartEntry,
+    messages.MemberEntry,
+    messages.CrashReport,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/magnoliafork/wire/control_links.py
+++ b/magnoliafork/wire/control_links.py
@@ -29,6 +29,7 @@
     messages.ViewAnnounce,
     messages.ViewRequest,
     messages.ViewReply,
+    messages.CrashReports,
 )
 
 
--- a/magnoliafork/wire/messages.py
+++ b/magnoliafork/wire/messages.py
@@ -282,6 +282,7 @@
             sender has not seen an earlier one.
         config_version: Newest version of the configuration that the sender
             knows; it may be newer than a restored store.
+        accepts_crash_reports: Whether the sender knows `CrashReports`.
     """
 
     revision: int
@@ -292,6 +293,34 @@
     era: int = 0
     era_age_ms: int = 0
     config_version: int = 0
+    accepts_crash_reports: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashReport:
+    """What a node knows of a request that ran when an upstream crashed.
+
+    Attributes:
+        fingerprint: Digest that identifies the request.
+        upstream_id: Id of the upstream; empty if an upstream has answered.
+        upstream_started_ms: Start of its incarnation.
+        age_ms: Time since the crash or the answer.
+        is_answered: Whether an upstream has answered the request, so that
+            earlier crashes do not count.
+    """
+
+    fingerprint: bytes
+    upstream_id: str
+    upstream_started_ms: int
+    age_ms: int
+    is_answered: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashReports:
+    """Reports that are new to the sender, or all for a new neighbour."""
+
+    reports: tuple[CrashReport, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -360,6 +389,7 @@
     | ViewAnnounce
     | ViewRequest
     | ViewReply
+    | CrashReports
 )
 StreamMessage = CallRequest | CallCancel | CallFence
 Message = Hello | ControlMessage | StreamMessage | StreamReply | GoAway
--- a/magnoliafork/wire/peer.thrift
+++ b/magnoliafork/wire/peer.thrift
@@ -168,6 +168,19 @@
     6: i64 era
     7: i32 era_age_ms
     8: i64 config_version
+    9: bool accepts_crash_reports
+}
+
+struct CrashReport {
+    1: binary fingerprint
+    2: string upstream_id
+    3: i64 upstream_started_ms
+    4: i32 age_ms
+    5: bool is_answered
+}
+
+struct CrashReports {
+    1: list<CrashReport> reports
 }
 
 struct ViewRequest {
