Serve requests with an absolute target

Cause: the target was matched as a path.

Change: an absolute target gives host and path, and the upstream gets the path.

Before: test_absolute_target_reaches_a_server_of_its_route failed with 404. After: it passes.

--- a/magnoliafork/mesh/ingress.py
+++ b/magnoliafork/mesh/ingress.py
@@ -329,12 +329,15 @@
             now_s = asyncio.get_running_loop().time()
             remaining_s -= now_s - unanswered.arrived_s
         unanswered.is_passed_on = True
+        host, target = origin_form(
+            request.headers.get("Host", ""), request.raw_path
+        )
         outcome = await self._sender.handle(
             MeshRequest(
                 request_id=unanswered.request_id,
                 method=request.method,
-                host=request.headers.get("Host", ""),
-                target=request.raw_path,
+                host=host,
+                target=target,
                 headers=self._header_codec.forwarded_headers(
                     headers, self._own_service
                 ),
@@ -345,6 +348,28 @@
         return _to_response(outcome)
 
 
+def origin_form(host: str, target: str) -> tuple[str, str]:
+    """Returns the host and the path of a request, whatever its target's form.
+
+    An absolute target names the host itself, and the header does not count.
+
+    >>> origin_form("a.example", "/x?y=1")
+    ('a.example', '/x?y=1')
+    >>> origin_form("a.example", "http://b.example/x?y=1")
+    ('b.example', '/x?y=1')
+    >>> origin_form("a.example", "HTTP://b.example?y=1")
+    ('b.example', '/?y=1')
+    """
+    scheme, separator, rest = target.partition("://")
+    if target.startswith("/") or not separator or scheme.lower() != "http":
+        return host, target
+    end = min(
+        (at for at in map(rest.find, "/?#") if at >= 0), default=len(rest)
+    )
+    authority, path = rest[:end], rest[end:]
+    return authority, path if path.startswith("/") else f"/{path}"
+
+
 def _to_response(outcome: Outcome) -> web.Response:
     if isinstance(outcome, Answered):
         return web.Response(
--- a/magnoliafork/tests/platform/test_end_to_end.py
+++ b/magnoliafork/tests/platform/test_end_to_end.py
@@ -196,6 +196,24 @@
     run(test)
 
 
+def test_absolute_target_reaches_a_server_of_its_route() -> None:
+    """Guards against 404 for callers that name the host in the target."""
+
+    async def test(fleet: Fleet) -> None:
+        reader, writer = await asyncio.open_connection(HOST, CALLER_PORT)
+        writer.write(
+            b"GET http://shop.example/a/b?q=1 HTTP/1.1\r\n"
+            b"Host: other.example\r\nConnection: close\r\n"
+            + f"{names.ATTEMPT_ID}: k\r\n\r\n".encode()
+        )
+        answer = await reader.read()
+        writer.close()
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        assert answer.endswith(b"GET /a/b?q=1 ")
+
+    run(test)
+
+
 def test_requests_under_low_load_stay_in_their_zone() -> None:
     """Guards against paying for cross-zone traffic while the zone has room."""
 
