Repeat a request that crashes servers in the soak

Real processes with kills, planned stops, resets and a store that fails: one request that ends its server is sent five times a second to all nodes. It may end three servers, and one for each node that has just started.

--- a/magnoliafork/tests/platform/standins.py
+++ b/magnoliafork/tests/platform/standins.py
@@ -231,6 +231,11 @@
             if connection.transport is not None:
                 connection.transport.abort()
 
+    async def restart(self) -> None:
+        """Listens again after a crash, as a new incarnation."""
+        self.start_again()
+        await web.TCPSite(self._runner, self.host, SERVER_PORT).start()
+
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         arrived_s = asyncio.get_running_loop().time()
         attempt_id = request.headers.get(names.ATTEMPT_ID, "")
--- a/magnoliafork/tests/platform/test_end_to_end.py
+++ b/magnoliafork/tests/platform/test_end_to_end.py
@@ -405,10 +405,7 @@
         assert sum(server.crashes for server in fleet.servers.values()) == 2
         await sound
         for host in ("127.0.7.1", "127.0.7.3"):
-            server = fleet.servers[host]
-            await server.stop()
-            fleet.servers[host] = ServerStandIn(host, f"i-{host}")
-            await fleet.servers[host].start()
+            await fleet.servers[host].restart()
         await fleet.wait_for_status("127.0.7.4", "/a/sound", 200)
         for host, _, _ in MACHINES:
             again = await fleet.request(host, "/a/?crash=1&work_ms=50")
--- a/magnoliafork/tests/soak/test_soak.py
+++ b/magnoliafork/tests/soak/test_soak.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from magnoliafork.tests.soak.crashes import CrashSoak
 from magnoliafork.tests.soak.planned import PlannedSoak
 from magnoliafork.tests.soak.run import run_seed
 
@@ -21,3 +22,10 @@
     findings = asyncio.run(run_seed(1, 8.0, PlannedSoak))
     assert findings.violations == []
     assert findings.statuses[200] > 0
+
+
+def test_request_that_crashes_servers_is_stopped_beside_other_faults() -> None:
+    """One request ended server after server while nodes were restarted."""
+    findings = asyncio.run(run_seed(2, 6.0, CrashSoak))
+    assert findings.violations == []
+    assert findings.statuses[200] > 0
