Bound large answers over all connections, and answers of the store

Change: at most 16 answers over 64 KB are read at a time; the others are not read on meanwhile. An answer of the store ends at 16 MB; a watch over that reads the whole state instead, and a state has at most 100 pages.

--- a/magnoliafork/mesh/http_exchange.py
+++ b/magnoliafork/mesh/http_exchange.py
@@ -33,6 +33,10 @@
 COUNTED_CHUNK_BYTES = 64
 # Most bytes that wait for the parser before the connection is read further.
 READ_AHEAD_BYTES = 65_536
+# Most answers larger than this that are read at a time, over all connections;
+# with their copies they take 64 MB. Others wait until one is complete.
+SMALL_ANSWER_BYTES = 65_536
+MAX_LARGE_ANSWERS = 16
 # Most time for parsing in one turn of the loop, over all connections. Peers'
 # probes must be answered within 0.7 s, which takes several turns.
 MAX_PARSE_TURN_S = 0.005
@@ -132,11 +136,23 @@
     """
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, turns: ParseTurns
+        self,
+        loop: asyncio.AbstractEventLoop,
+        turns: ParseTurns,
+        large_answers: asyncio.Semaphore,
     ) -> None:
-        """Creates the protocol of a connection that is not open yet."""
+        """Creates the protocol of a connection that is not open yet.
+
+        Args:
+            loop: The loop that runs it.
+            turns: Limits the time for parsing; shared by all connections.
+            large_answers: Limits how many large answers are read at a time;
+                shared by all connections.
+        """
         self._loop = loop
         self._turns = turns
+        self._large_answers = large_answers
+        self._reads_large_answer = False
         self._transport: asyncio.Transport | None = None
         self._received = bytearray()
         self._exchange_bytes = 0
@@ -229,6 +245,8 @@
         except BaseException:
             self.close()
             raise
+        finally:
+            self._end_large_answer()
 
     def _finish(
         self, result: HttpAnswer | HttpFailure
@@ -340,6 +358,7 @@
         while length:
             if not self._received:
                 await self._need_more()
+            await self._begin_large_answer(body)
             piece = self._take(min(length, len(self._received)))
             body += piece
             length -= len(piece)
@@ -347,10 +366,24 @@
     async def _read_until_end(self, body: bytearray) -> None:
         """Appends all bytes until the upstream ends the connection."""
         while self._received or await self._has_more():
+            await self._begin_large_answer(body)
             body += self._take(len(self._received))
             if len(body) > MAX_ANSWER_BODY_BYTES:
                 raise _NoAnswerError(f"body over {MAX_ANSWER_BODY_BYTES} bytes")
 
+    async def _begin_large_answer(self, body: bytearray) -> None:
+        """Waits until a body may grow; nothing more is read meanwhile."""
+        size_bytes = len(body) + len(self._received)
+        if self._reads_large_answer or size_bytes <= SMALL_ANSWER_BYTES:
+            return
+        await self._large_answers.acquire()
+        self._reads_large_answer = True
+
+    def _end_large_answer(self) -> None:
+        if self._reads_large_answer:
+            self._reads_large_answer = False
+            self._large_answers.release()
+
     def _take(self, count: int, counted_bytes: int = 0) -> bytes:
         """Removes the next bytes from those that wait for the parser.
 
--- a/magnoliafork/mesh/upstream.py
+++ b/magnoliafork/mesh/upstream.py
@@ -11,6 +11,7 @@
     UpstreamNotice,
 )
 from magnoliafork.mesh.http_exchange import (
+    MAX_LARGE_ANSWERS,
     HttpAnswer,
     HttpConnection,
     HttpFailure,
@@ -155,6 +156,7 @@
         self._idle: list[HttpConnection] = []
         self._open: set[HttpConnection] = set()
         self._turns: ParseTurns | None = None
+        self._large_answers = asyncio.Semaphore(MAX_LARGE_ANSWERS)
         self.connections_opened = 0
         self.on_disconnected: Callable[[], None] | None = None
 
@@ -253,7 +255,8 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: HttpConnection(loop, turns), *self._address
+                    lambda: HttpConnection(loop, turns, self._large_answers),
+                    *self._address,
                 )
         except (OSError, TimeoutError) as error:
             return _ConnectFailure(
--- a/magnoliafork/platform/store.py
+++ b/magnoliafork/platform/store.py
@@ -17,6 +17,11 @@
 READ_TIMEOUT_S = 1.5
 # Time that a watch may take beyond its requested wait.
 WATCH_GRACE_S = 0.8
+# A page has about 1 MB of values, and a third more as base64. A watch may hold
+# several large configurations.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Pages of about 500 items each; a fleet of 2,300 nodes has five.
+MAX_PAGES = 100
 
 _OK = 200
 _GONE = 410
@@ -68,7 +73,7 @@
         revision = 0
         era: int | None = None
         after = ""
-        while True:
+        for _ in range(MAX_PAGES):
             query = {"prefix": ""}
             if after:
                 query["after"] = after
@@ -90,6 +95,7 @@
             if not has_more or not page_items:
                 return ViewDelta(0, revision, tuple(items), era)
             after = page_items[-1].key
+        return StoreUnavailable(f"more than {MAX_PAGES} pages")
 
     async def watch(
         self, after_revision: int, wait_s: float
@@ -126,7 +132,15 @@
                 era = _era(answer.headers.get(names.STORE_ERA))
                 if answer.status == _GONE:
                     return HistoryGone(era)
-                return _Answer(era, json.loads(await answer.read()))
+                body = await _read_limited(answer.content)
+                if body is None and path == names.WATCH_PATH:
+                    # The whole state is read in pages instead.
+                    return HistoryGone(era)
+                if body is None:
+                    return StoreUnavailable(
+                        f"answer over {MAX_ANSWER_BYTES} bytes"
+                    )
+                return _Answer(era, json.loads(body))
         except TimeoutError:
             return StoreUnavailable(f"no answer for {timeout_s} s")
         # A deeply nested answer exceeds the recursion limit of the decoder.
@@ -139,6 +153,16 @@
             return StoreUnavailable(f"{type(error).__name__}: {error}")
 
 
+async def _read_limited(content: aiohttp.StreamReader) -> bytes | None:
+    """Reads a whole body; returns None if it is over the limit."""
+    body = bytearray()
+    async for piece in content.iter_any():
+        body += piece
+        if len(body) > MAX_ANSWER_BYTES:
+            return None
+    return bytes(body)
+
+
 def _era(stated: str | None) -> int:
     """Returns the era of an answer; the first one that can be stated is 1.
 
--- a/magnoliafork/tests/mesh/test_http_exchange.py
+++ b/magnoliafork/tests/mesh/test_http_exchange.py
@@ -14,6 +14,7 @@
 import pytest
 
 from magnoliafork.mesh import http_exchange
+from magnoliafork.mesh import upstream as upstream_module
 from magnoliafork.mesh.header_codec import AnswerHeaders, RawHeaders
 from magnoliafork.mesh.upstream import (
     UpstreamAnswered,
@@ -695,6 +696,75 @@
     assert peak_bytes <= MAX_HELD_BYTES
 
 
+MANY_REQUESTS = 80
+# What each one may hold beside those that read a large answer: what it has
+# read ahead, as bytes and as a part of its body.
+SMALL_HELD_BYTES = 2 * 256 * 1024
+
+
+def test_many_endless_answers_share_a_bound() -> None:
+    """Each answer had a limit, and 80 of them had more than the machine."""
+    # Nearly a whole body, and then a trickle.
+    flood = Flood(f"{_HEAD}\r\n{'x' * 1_800_000}", b"x", pause_s=0.2)
+
+    async def send_all(port: int) -> None:
+        client = client_of(port)
+        await asyncio.gather(
+            *[send_with(client, deadline_s=4) for _ in range(MANY_REQUESTS)]
+        )
+
+    with flooding(flood) as upstream:
+        tracemalloc.start()
+        try:
+            asyncio.run(send_all(upstream.port))
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+    assert peak_bytes <= (
+        http_exchange.MAX_LARGE_ANSWERS * MAX_HELD_BYTES
+        + MANY_REQUESTS * SMALL_HELD_BYTES
+    )
+
+
+def test_large_answers_beyond_the_limit_are_read_later(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A limit that never frees its places would block all large answers."""
+    monkeypatch.setattr(upstream_module, "MAX_LARGE_ANSWERS", 2)
+    body = "x" * 300_000
+
+    async def respond(
+        writer: asyncio.StreamWriter, attempt_id: str, _: int
+    ) -> None:
+        writer.write(answer(attempt_id, body))
+
+    async def send_all() -> list[UpstreamResult]:
+        server = await asyncio.start_server(
+            FaultyUpstream(respond), "127.0.0.1", 0
+        )
+        client = client_of(server.sockets[0].getsockname()[1])
+        calls = [
+            UpstreamCall(
+                "GET",
+                "/",
+                (("Host", "x"), (names.ATTEMPT_ID, f"id{number}")),
+                b"",
+                f"id{number}",
+                True,
+            )
+            for number in range(20)
+        ]
+        async with asyncio.timeout(10):
+            results = await asyncio.gather(*[client.send(c) for c in calls])
+        await client.close()
+        server.close()
+        return results
+
+    for result in asyncio.run(send_all()):
+        assert isinstance(result, UpstreamAnswered)
+        assert len(result.body) == len(body)
+
+
 @contextlib.contextmanager
 def objects_of_other_tests_kept_from_collection() -> Iterator[None]:
     """Keeps the objects that exist before out of garbage collections.
