--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 BIN := $(VENV)/bin
 SECONDS_TO_RUN ?= 20
 QUICK ?= 0
+TEST_PROCESSES ?= 4
 
 .PHONY: test demo bench capacity format venv clean
 
@@ -18,7 +19,7 @@
 	$(BIN)/ruff format --check magnoliafork
 	$(BIN)/ruff check magnoliafork
 	$(BIN)/mypy
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest --numprocesses $(TEST_PROCESSES) --dist loadgroup
 
 demo: venv
 	$(BIN)/magnolia demo --seconds-to-run $(SECONDS_TO_RUN)
