Send large states in parts; close idle connections for calls

Cause: a state of more than 2 MB, as of some thousand nodes, raised an error in the node that was asked for it, so that a new node could get it from the store only. Connections between nodes were never closed; at 2,300 nodes they need more than the 4,100 descriptors of a process.

Change: replies over 1 MB are sent in parts to peers that accept them. A connection without calls for 30 s is closed.

--- a/magnoliafork/mesh/view_sync.py
+++ b/magnoliafork/mesh/view_sync.py
@@ -5,6 +5,7 @@
 
 from magnoliafork.mesh import reader_selection
 from magnoliafork.mesh.model import StorePosition
+from magnoliafork.mesh.reply_parts import PartialReply, split_reply
 from magnoliafork.mesh.upstream_table import UpstreamTable
 from magnoliafork.mesh.view import MeshView
 from magnoliafork.mesh.view_codec import ViewEncoder, decode_reply
@@ -46,12 +47,15 @@
 
 @dataclasses.dataclass(slots=True)
 class _Peer:
-    """Last announcement of a neighbour and when it was received."""
+    """Last announcement of a neighbour and the parts of its last reply."""
 
     position: StorePosition = StorePosition()
     config_version: int = 0
     store_answer_at_s: float = float("-inf")
     received_at_s: float = float("-inf")
+    partial_reply: PartialReply = dataclasses.field(
+        default_factory=PartialReply
+    )
 
 
 class ViewSync:
@@ -334,15 +338,32 @@
                 self._catch_up(now_s)
             case messages.ViewRequest():
                 era = self._era_of(message.era)
-                request = dataclasses.replace(message, era=era)
-                self._links.send(instance_id, self.encoder.reply(request))
+                self._reply(instance_id, dataclasses.replace(message, era=era))
             case messages.ViewReply():
                 era = self._era_of(message.era)
-                reply = dataclasses.replace(message, era=era)
-                self._on_reply(instance_id, reply)
+                self._on_part(
+                    instance_id, dataclasses.replace(message, era=era)
+                )
             case _:
                 pass
 
+    def _reply(self, host: str, request: messages.ViewRequest) -> None:
+        parts = split_reply(self.encoder.reply(request))
+        if len(parts) > 1 and not request.accepts_parts:
+            # Nodes of an earlier release would take a part for the whole state.
+            self._log.warning(Event.VIEW_TOO_LARGE, peer=host, parts=len(parts))
+            return
+        for part in parts:
+            self._links.send(host, part)
+
+    def _on_part(self, host: str, part: messages.ViewReply) -> None:
+        reply = self._peers[host].partial_reply.add(part)
+        if reply is not None:
+            self._on_reply(host, reply)
+        elif host == self._requested_from:
+            # The rest is on its way; another peer would send all of it again.
+            self._requested_at_s = self._clock()
+
     def _era_of(self, told_era: int) -> int:
         """Returns the era that a message is of.
 
@@ -407,7 +428,10 @@
         self, host: str, after_revision: int, *, accepts_patches: bool
     ) -> None:
         request = messages.ViewRequest(
-            after_revision, accepts_patches, self._view.era
+            after_revision,
+            accepts_patches,
+            self._view.era,
+            accepts_parts=True,
         )
         if self._links.send(host, request):
             self._requested_at_s = self._clock()
--- a/magnoliafork/observe/events.py
+++ b/magnoliafork/observe/events.py
@@ -45,6 +45,7 @@
     STORE_RESTORED = "store_restored"
     STORE_READ_IGNORED = "store_read_ignored"
     READING_CHANGED = "reading_changed"
+    VIEW_TOO_LARGE = "view_too_large"
     ITEM_UNREADABLE = "item_unreadable"
     UPSTREAM_CHANGED = "upstream_changed"
     REQUEST_REFUSED = "request_refused"
--- a/magnoliafork/tests/mesh/test_view_sync.py
+++ b/magnoliafork/tests/mesh/test_view_sync.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from magnoliafork.mesh.model import StoredItem
 from magnoliafork.mesh.upstream_table import UpstreamTable
 from magnoliafork.mesh.view import MeshView, ViewDelta
 from magnoliafork.mesh.view_sync import (
@@ -274,6 +275,47 @@
     assert restarted.view.revision == cluster.revision
 
 
+def _grow_state(cluster: FakeCluster, count: int) -> None:
+    """Gives every node a state of about a kilobyte for each entry."""
+    rng = random.Random(3)
+    items = list(cluster.base.items)
+    for number in range(count):
+        cluster.revision += 1
+        fact = entry(f"big{number}", host="x0", port=number, zone="x")
+        item = StoredItem(
+            f"servers/big{number}", cluster.revision, rng.randbytes(1000)
+        )
+        cluster.item_codec.add(item.value, fact)
+        items.append(item)
+    state = ViewDelta(0, cluster.revision, tuple(items))
+    for node in cluster.nodes.values():
+        node.view.apply(state)
+
+
+def test_restarted_node_takes_a_state_that_needs_several_frames() -> None:
+    """No peer could send the whole state of a fleet of thousands of nodes."""
+    cluster = FakeCluster()
+    _grow_state(cluster, 3000)
+    cluster.nodes["x2"] = FakeNode(cluster, "x2")
+    for node in cluster.nodes.values():
+        node.peers.discard("x2")
+    restarted = cluster.nodes["x2"]
+    restarted.reads_store = False
+    restarted.view_sync.add_bootstrap_peer("y1")
+    cluster.run(2.0)
+    assert restarted.view.revision == cluster.revision
+    assert len(restarted.view.upstreams) == 3000 + len(cluster.nodes)
+
+
+def test_peer_that_knows_no_parts_gets_none() -> None:
+    """A node of an earlier release would take a part for the whole state."""
+    cluster = FakeCluster()
+    _grow_state(cluster, 3000)
+    cluster.replies.clear()
+    cluster.nodes["x1"].view_sync.on_control("x2", messages.ViewRequest(0))
+    assert cluster.replies == []
+
+
 @pytest.mark.parametrize(("lost_share", "seeds"), [(0.0, 8), (0.5, 3)])
 def test_random_isolation_never_leaves_a_connected_node_lagging(
     lost_share: float, seeds: int
--- a/magnoliafork/tests/wire/test_pool.py
+++ b/magnoliafork/tests/wire/test_pool.py
@@ -13,7 +13,7 @@
 from magnoliafork.wire.control_links import ControlLinkManager
 from magnoliafork.wire.identity import NodeIdentity
 from magnoliafork.wire.link import LinkTraffic
-from magnoliafork.wire.pool import HELLO_WAIT_S, PeerPool
+from magnoliafork.wire.pool import HELLO_WAIT_S, IDLE_CLOSE_S, PeerPool
 from magnoliafork.wire.server import PeerServer
 
 REQUEST = messages.CallRequest(
@@ -239,6 +239,36 @@
     virtual_time.run(_with_pool(check))
 
 
+def test_idle_connection_is_closed_and_opened_again() -> None:
+    """In a large fleet, idle connections used up the descriptors."""
+
+    async def check(pool: PeerPool, handler: _Handler, proxy: _Proxy) -> None:
+        await pool.call("b", _call("r0", 0.0), 2.0)
+        await asyncio.sleep(IDLE_CLOSE_S - 1.0)
+        await pool.call("b", _call("r1", 0.0), 2.0)
+        await asyncio.sleep(IDLE_CLOSE_S - 1.0)
+        assert proxy.connections == 1
+        await asyncio.sleep(2.0)
+        assert pool._by_link == {}
+        reply = await pool.call("b", _call("r2", 0.0), 2.0)
+        assert isinstance(reply, messages.CallAnswer)
+        assert proxy.connections == 2
+
+    virtual_time.run(_with_pool(check))
+
+
+def test_connection_with_a_long_call_is_not_idle() -> None:
+    """Guards against cutting a call that takes longer than the limit."""
+
+    async def check(pool: PeerPool, handler: _Handler, proxy: _Proxy) -> None:
+        duration_s = 2.5 * IDLE_CLOSE_S
+        reply = await pool.call("b", _call("r0", duration_s), 2 * duration_s)
+        assert isinstance(reply, messages.CallAnswer)
+        assert proxy.connections == 1
+
+    virtual_time.run(_with_pool(check))
+
+
 def test_call_over_a_congested_path_is_not_cut() -> None:
     """Late heartbeat replies ended calls whose upstreams were at work."""
 
--- a/magnoliafork/wire/messages.py
+++ b/magnoliafork/wire/messages.py
@@ -338,11 +338,13 @@
         after_revision: Revision that the view of the sender has reached.
         accepts_patches: Whether the reply may contain patches.
         era: Era of the revision.
+        accepts_parts: Whether a large reply may be sent in parts.
     """
 
     after_revision: int
     accepts_patches: bool = False
     era: int = 0
+    accepts_parts: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -359,6 +361,8 @@
         patched_revisions: For each item the revision of the value that its
             patch applies to, or 0 if the value is whole; empty if all are.
         era: Era of all revisions.
+        part: Number of this part, from 1, if the reply is sent in parts.
+        parts: Number of the parts of the reply; 0 if it is whole.
     """
 
     base_revision: int
@@ -368,6 +372,8 @@
     values: tuple[bytes, ...]
     patched_revisions: tuple[int, ...] = ()
     era: int = 0
+    part: int = 0
+    parts: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/magnoliafork/wire/peer.thrift
+++ b/magnoliafork/wire/peer.thrift
@@ -188,6 +188,7 @@
     1: i64 after_revision
     2: bool accepts_patches
     3: i64 era
+    4: bool accepts_parts
 }
 
 struct ViewReply {
@@ -198,6 +199,8 @@
     5: list<binary> values
     6: list<i64> patched_revisions
     7: i64 era
+    8: i32 part
+    9: i32 parts
 }
 
 struct GoAway {
--- a/magnoliafork/wire/pool.py
+++ b/magnoliafork/wire/pool.py
@@ -23,6 +23,10 @@
 # once meanwhile; otherwise each one would cost its caller a connection timeout.
 RECONNECT_PAUSE_S = 0.2
 MAX_OUTSTANDING_PER_LINK = 4096
+# Time after which a connection without calls is closed. In a fleet of
+# thousands, each node calls every other one now and then, and would run out of
+# descriptors.
+IDLE_CLOSE_S = 30.0
 
 StreamFuture = asyncio.Future[messages.StreamReply | api.LinkFailure]
 
@@ -40,6 +44,8 @@
     )
     silence_timer: asyncio.TimerHandle | None = None
     path_check: asyncio.Task[None] | None = None
+    used_s: float = 0.0
+    idle_timer: asyncio.TimerHandle | None = None
     is_going_away: bool = False
 
 
@@ -240,6 +246,8 @@
             entry.ready.set_result(False)
         if entry.silence_timer is not None:
             entry.silence_timer.cancel()
+        if entry.idle_timer is not None:
+            entry.idle_timer.cancel()
         if entry.path_check is not None:
             entry.path_check.cancel()
         failure = api.LinkFailure(True, entry.incarnation, link.close_reason)
@@ -269,6 +277,7 @@
             )
         future: StreamFuture = loop.create_future()
         entry.streams[stream_id] = future
+        entry.used_s = loop.time()
         self._observe_silence(entry)
         timer = loop.call_later(
             timeout_s, self._expire, entry, stream_id, future
@@ -377,8 +386,23 @@
             return None
         self._blocked_until_s.pop(instance_id, None)
         self._links[instance_id] = entry
+        entry.used_s = loop.time()
+        self._schedule_idle_check(entry, IDLE_CLOSE_S)
         return entry
 
+    def _schedule_idle_check(self, entry: _CallLink, after_s: float) -> None:
+        entry.idle_timer = asyncio.get_running_loop().call_later(
+            after_s, self._close_if_idle, entry
+        )
+
+    def _close_if_idle(self, entry: _CallLink) -> None:
+        idle_s = asyncio.get_running_loop().time() - entry.used_s
+        if entry.streams or idle_s < IDLE_CLOSE_S:
+            left_s = IDLE_CLOSE_S if entry.streams else IDLE_CLOSE_S - idle_s
+            self._schedule_idle_check(entry, left_s)
+            return
+        entry.link.close_after_flush("idle")
+
     # Silence.
 
     def _probe(self, entry: _CallLink) -> None:
