--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,8 @@
 SECONDS_TO_RUN ?= 20
 QUICK ?= 0
 TEST_PROCESSES ?= 4
+# Tests whose nodes listen on fixed addresses run one after the other.
+FIXED_ADDRESSES := magnoliafork/tests/platform magnoliafork/tests/soak
 
 .PHONY: test demo bench capacity format venv clean
 
@@ -19,7 +21,9 @@
 	$(BIN)/ruff format --check magnoliafork
 	$(BIN)/ruff check magnoliafork
 	$(BIN)/mypy
-	$(BIN)/python -m pytest --numprocesses $(TEST_PROCESSES) --dist loadgroup
+	$(BIN)/python -m pytest --numprocesses $(TEST_PROCESSES) \
+		$(foreach folder,$(FIXED_ADDRESSES),--ignore $(folder))
+	$(BIN)/python -m pytest $(FIXED_ADDRESSES)
 
 demo: venv
 	$(BIN)/magnolia demo --seconds-to-run $(SECONDS_TO_RUN)
