--- /dev/null
+++ b/review/common/mesh.py
@@ -0,0 +1,330 @@
+"""Node processes of a small deployment, with stand-ins on loopback addresses.
+
+The nodes run with the command of the deploy file. The store, the servers and
+the callers run in the process of the script.
+"""
+
+import asyncio
+import json
+import os
+import pathlib
+import random
+import socket
+import sys
+import tempfile
+import time
+import tomllib
+from typing import Any
+
+import aiohttp
+
+from magnoliafork.platform import names
+from magnoliafork.platform.daemon import SETTINGS_VARIABLE
+from magnoliafork.tests.platform import standins
+from magnoliafork.tests.soak.proxy import LinkProxy
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+ZONES = ("workshop-a", "workshop-b", "barn-c")
+SERVICES = ("catalogue", "orders")
+PORTS = (
+    standins.SERVER_PORT,
+    standins.PEER_PORT,
+    standins.CALLER_PORT,
+    standins.READY_PORT,
+    standins.METRICS_PORT,
+)
+EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
+
+
+class Store(standins.StoreStandIn):
+    """The project's store, with pages as large as the pages allow."""
+
+    def _range(self, request: Any) -> Any:
+        after = request.query.get("after", "")
+        keys = sorted(key for key in self._items if key > after)
+        return aiohttp.web.json_response(
+            {
+                "items": [self._items[key] for key in keys[:500]],
+                "has_more": len(keys) > 500,
+                "as_of": self.revision,
+            },
+            headers=self._headers(),
+        )
+
+
+class Server(standins.ServerStandIn):
+    """The project's server; reports each request to a record."""
+
+    def __init__(self, host: str, server_id: str, zone: str, mesh: "Mesh"):
+        super().__init__(host, server_id, work_s=0.02)
+        self.zone = zone
+        self.closes_without_answer = False
+        self._mesh = mesh
+
+    async def _handle(self, request: Any) -> Any:
+        if request.path != "/health":
+            self._mesh.note(
+                "arrived",
+                id=request.headers.get(names.ATTEMPT_ID, ""),
+                server=self.server_id,
+                zone=self.zone,
+            )
+        answer = await super()._handle(request)
+        # What the server states may have changed while it ran the request.
+        answer.headers.update(self.statements)
+        if self.closes_without_answer and request.path != "/health":
+            self._mesh.note(
+                "answer lost",
+                id=request.headers.get(names.ATTEMPT_ID, ""),
+                server=self.server_id,
+            )
+            if request.transport is not None:
+                request.transport.close()
+        return answer
+
+
+class Mesh:
+    """Six machines: one server of each of two services in each zone."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.store = Store()
+        self.servers: dict[str, Server] = {}
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.hosts: dict[str, tuple[str, str]] = {}
+        self.record: list[dict[str, Any]] = []
+        self._started_s = time.monotonic()
+        self._sequence = 0
+        self._number = 0
+        self.draining: set[str] = set()
+        self.proxies: dict[str, LinkProxy] = {}
+
+    def now_s(self) -> float:
+        return time.monotonic() - self._started_s
+
+    def note(self, event: str, **fields: Any) -> dict[str, Any]:
+        entry = {"at_s": round(self.now_s(), 4), "event": event, **fields}
+        self.record.append(entry)
+        return entry
+
+    def write_record(self, path: pathlib.Path) -> None:
+        lines = [json.dumps(entry) for entry in self.record]
+        path.write_text("\n".join(lines) + "\n", encoding="utf-8")
+
+    async def start(self) -> None:
+        network = _free_network()
+        machines = [(zone, service) for zone in ZONES for service in SERVICES]
+        for number, (zone, service) in enumerate(machines, 1):
+            host = f"{network}.{number}"
+            self.hosts[host] = (zone, service)
+            # Peers reach a node through a proxy at its own address.
+            self.proxies[host] = LinkProxy(
+                host, f"{network}.{number + 100}", standins.PEER_PORT
+            )
+        await self.store.start()
+        self.publish_configuration(1)
+        for host, (zone, _) in self.hosts.items():
+            server = Server(host, f"i-{host}", zone, self)
+            self.servers[host] = server
+            await server.start()
+            await self.proxies[host].start()
+        self.write_servers()
+        for host in self.hosts:
+            await self.start_node(host)
+        await self.wait_until_ready()
+
+    def publish_configuration(self, version: int) -> None:
+        rows = [["/browse/", "safe", "x"], ["/order/", "unsafe", "y"]]
+        value = standins.configuration(version, rows, timeout_ms=8000)
+        text = json.dumps(value)
+        text = text.replace('"x"', '"catalogue"').replace('"y"', '"orders"')
+        self.store.put("op/config", json.loads(text))
+
+    def write_servers(self) -> None:
+        """Writes the entry of each server, as servers do regularly."""
+        self._sequence += 1
+        for host, (zone, service) in self.hosts.items():
+            state = "draining" if host in self.draining else "ready"
+            self.store.put(
+                f"servers/i-{host}",
+                standins.server_entry(
+                    host, service, zone, state, 6, self._sequence
+                ),
+            )
+
+    async def beat(self, interval_s: float = 0.87) -> None:
+        while True:
+            await asyncio.sleep(interval_s)
+            if self.store.status == 200:
+                self.write_servers()
+
+    async def start_node(self, host: str) -> None:
+        zone, service = self.hosts[host]
+        settings = {
+            "node": {"host": host, "zone": zone, "service": service},
+            "addresses": {
+                "callers": f"{host}:{standins.CALLER_PORT}",
+                "peers": f"{self.proxies[host].node_host}:"
+                f"{standins.PEER_PORT}",
+                "ready": f"{host}:{standins.READY_PORT}",
+                "metrics": f"{host}:{standins.METRICS_PORT}",
+                "upstream": f"{host}:{standins.SERVER_PORT}",
+                "store": self.store.address,
+            },
+            "bounds": {
+                "grace_period_s": 6,
+                "drain_timeout_ms": 2000,
+                "retry_budget_ratio": 0.2,
+                "retry_budget_slack": 58,
+                "retry_budget_window_s": 10,
+                "cold_rate_factor": 1.5,
+            },
+            "limits": {"descriptors": 4100},
+            "logs": {"level": "info"},
+        }
+        path = self.folder / f"{host}.yaml"
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text("utf-8"))
+        role = deploy["roles"]["node"]
+        environment = {
+            "PATH": os.environ["PATH"],
+            "PYTHONPATH": str(ROOT / "target/deps"),
+            SETTINGS_VARIABLE: str(path),
+            **role["env"],
+        }
+        with (self.folder / f"{host}.log").open("ab") as log:
+            self.processes[host] = await asyncio.create_subprocess_exec(
+                *role["run"].split(),
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    async def kill_and_restart(self, host: str) -> None:
+        """Kills a node; it is started again after a short delay."""
+        self.note("node killed", node=host)
+        self.processes[host].kill()
+        await self.processes[host].wait()
+        await asyncio.sleep(0.1)
+        await self.start_node(host)
+        await self.wait_until_ready()
+        self.note("node ready again", node=host)
+
+    async def wait_until_ready(self) -> None:
+        async with asyncio.timeout(20):
+            async with aiohttp.ClientSession() as http:
+                for host in self.hosts:
+                    while not await self._is_ready(http, host):
+                        await asyncio.sleep(0.05)
+
+    async def _is_ready(self, http: aiohttp.ClientSession, host: str) -> bool:
+        url = f"http://{host}:{standins.READY_PORT}/ready"
+        try:
+            async with http.get(url) as answer:
+                return answer.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def call_regularly(
+        self, host: str, path: str, per_s: float, until_s: float
+    ) -> None:
+        """Sends requests of a caller of one machine at a rate."""
+        tasks = set()
+        async with aiohttp.ClientSession() as http:
+            while self.now_s() < until_s:
+                task = asyncio.create_task(self.call(http, host, path))
+                tasks.add(task)
+                task.add_done_callback(tasks.discard)
+                await asyncio.sleep(random.expovariate(per_s))
+            await asyncio.gather(*tasks)
+
+    async def call(
+        self,
+        http: aiohttp.ClientSession,
+        host: str,
+        path: str,
+        budget_s: float = 1.2,
+        method: str = "GET",
+    ) -> int:
+        self._number += 1
+        attempt_id = f"r{self._number}"
+        self.note("sent", id=attempt_id, to=host, path=path)
+        status = 0
+        is_leaving, seal = False, ""
+        try:
+            async with http.request(
+                method,
+                f"http://{host}:{standins.CALLER_PORT}{path}",
+                headers={
+                    "Host": "shop.example",
+                    names.ATTEMPT_ID: attempt_id,
+                    names.DEADLINE_MS: str(int(budget_s * 1000)),
+                },
+                timeout=aiohttp.ClientTimeout(total=budget_s),
+            ) as answer:
+                await answer.read()
+                status = answer.status
+                is_leaving = names.SERVER_LEAVING in answer.headers
+                seal = answer.headers.get(names.SEAL, "")
+        except (aiohttp.ClientError, TimeoutError):
+            pass
+        self.note(
+            "answered",
+            id=attempt_id,
+            status=status,
+            seal=seal,
+            is_leaving=is_leaving,
+        )
+        return status
+
+    async def close(self) -> None:
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.kill()
+        for process in self.processes.values():
+            await process.wait()
+        for proxy in self.proxies.values():
+            await proxy.stop()
+        for server in self.servers.values():
+            await server.stop()
+        await self.store.stop()
+
+
+def _free_network() -> str:
+    for _ in range(100):
+        network = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}"
+        try:
+            for number in (*range(1, 7), *range(101, 107)):
+                for port in PORTS:
+                    with socket.socket() as probe:
+                        probe.setsockopt(
+                            socket.SOL_SOCKET, socket.SO_REUSEADDR, 1
+                        )
+                        probe.bind((f"{network}.{number}", port))
+        except OSError:
+            continue
+        return network
+    raise OSError("no free addresses")
+
+
+def main(case: Any, folder: pathlib.Path) -> None:
+    """Runs a case; exits with 1 if the rule was broken, 2 if it cannot run."""
+
+    async def run() -> int:
+        with tempfile.TemporaryDirectory() as work:
+            mesh = Mesh(pathlib.Path(work))
+            try:
+                async with asyncio.timeout(110):
+                    await mesh.start()
+                    return await case(mesh, os.environ.get("TROUBLE") != "0")
+            finally:
+                await mesh.close()
+                mesh.write_record(folder / "record.txt")
+
+    try:
+        code = asyncio.run(run())
+    except Exception as error:
+        print(f"could not run: {type(error).__name__}: {error}")
+        code = EXIT_NOT_RUN
+    sys.exit(code)
