--- a/review/common/mesh.py
+++ b/review/common/mesh.py
@@ -56,6 +56,7 @@
     """The project's server; reports each request to a record."""
 
     def __init__(self, host: str, server_id: str, zone: str, mesh: "Mesh"):
+        """Creates a server that does not listen yet."""
         super().__init__(host, server_id, work_s=0.02)
         self.zone = zone
         self.closes_without_answer = False
@@ -87,6 +88,7 @@
     """Six machines: one server of each of two services in each zone."""
 
     def __init__(self, folder: pathlib.Path) -> None:
+        """Creates a deployment; `folder` receives settings and logs."""
         self.folder = folder
         self.store = Store()
         self.servers: dict[str, Server] = {}
@@ -100,18 +102,22 @@
         self.proxies: dict[str, LinkProxy] = {}
 
     def now_s(self) -> float:
+        """Returns the time since the start of the script."""
         return time.monotonic() - self._started_s
 
     def note(self, event: str, **fields: Any) -> dict[str, Any]:
+        """Adds an event to the record and returns it."""
         entry = {"at_s": round(self.now_s(), 4), "event": event, **fields}
         self.record.append(entry)
         return entry
 
     def write_record(self, path: pathlib.Path) -> None:
+        """Writes the record, one event a line."""
         lines = [json.dumps(entry) for entry in self.record]
         path.write_text("\n".join(lines) + "\n", encoding="utf-8")
 
     async def start(self) -> None:
+        """Starts everything and waits until all nodes are ready."""
         network = _free_network()
         machines = [(zone, service) for zone in ZONES for service in SERVICES]
         for number, (zone, service) in enumerate(machines, 1):
@@ -134,6 +140,7 @@
         await self.wait_until_ready()
 
     def publish_configuration(self, version: int) -> None:
+        """Writes a version of the configuration to the store."""
         rows = [["/browse/", "safe", "x"], ["/order/", "unsafe", "y"]]
         value = standins.configuration(version, rows, timeout_ms=8000)
         text = json.dumps(value)
@@ -153,19 +160,20 @@
             )
 
     async def beat(self, interval_s: float = 0.87) -> None:
+        """Lets all servers write their entries regularly."""
         while True:
             await asyncio.sleep(interval_s)
             if self.store.status == 200:
                 self.write_servers()
 
     async def start_node(self, host: str) -> None:
+        """Starts the node of a machine."""
         zone, service = self.hosts[host]
         settings = {
             "node": {"host": host, "zone": zone, "service": service},
             "addresses": {
                 "callers": f"{host}:{standins.CALLER_PORT}",
-                "peers": f"{self.proxies[host].node_host}:"
-                f"{standins.PEER_PORT}",
+                "peers": f"{self.proxies[host].node_host}:{standins.PEER_PORT}",
                 "ready": f"{host}:{standins.READY_PORT}",
                 "metrics": f"{host}:{standins.METRICS_PORT}",
                 "upstream": f"{host}:{standins.SERVER_PORT}",
@@ -212,6 +220,7 @@
         self.note("node ready again", node=host)
 
     async def wait_until_ready(self) -> None:
+        """Waits until all nodes answer readiness checks."""
         async with asyncio.timeout(20):
             async with aiohttp.ClientSession() as http:
                 for host in self.hosts:
@@ -247,6 +256,7 @@
         budget_s: float = 1.2,
         method: str = "GET",
     ) -> int:
+        """Sends a request of a caller and returns its status."""
         self._number += 1
         attempt_id = f"r{self._number}"
         self.note("sent", id=attempt_id, to=host, path=path)
@@ -279,6 +289,7 @@
         return status
 
     async def close(self) -> None:
+        """Ends all processes that were started."""
         for process in self.processes.values():
             if process.returncode is None:
                 process.kill()
