--- a/review/common/mesh.py
+++ b/review/common/mesh.py
@@ -21,11 +21,11 @@
 from magnoliafork.platform import names
 from magnoliafork.platform.daemon import SETTINGS_VARIABLE
 from magnoliafork.tests.platform import standins
-from magnoliafork.tests.soak.proxy import LinkProxy
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 ZONES = ("workshop-a", "workshop-b", "barn-c")
 SERVICES = ("catalogue", "orders")
+MACHINES = range(1, 1 + len(ZONES) * len(SERVICES))
 PORTS = (
     standins.SERVER_PORT,
     standins.PEER_PORT,
@@ -59,7 +59,8 @@
         """Creates a server that does not listen yet."""
         super().__init__(host, server_id, work_s=0.02)
         self.zone = zone
-        self.closes_without_answer = False
+        # Share of the requests whose answers are lost.
+        self.lost_share = 0.0
         self._mesh = mesh
 
     async def _handle(self, request: Any) -> Any:
@@ -73,7 +74,8 @@
         answer = await super()._handle(request)
         # What the server states may have changed while it ran the request.
         answer.headers.update(self.statements)
-        if self.closes_without_answer and request.path != "/health":
+        is_lost = random.random() < self.lost_share
+        if is_lost and request.path != "/health":
             self._mesh.note(
                 "answer lost",
                 id=request.headers.get(names.ATTEMPT_ID, ""),
@@ -99,7 +101,6 @@
         self._sequence = 0
         self._number = 0
         self.draining: set[str] = set()
-        self.proxies: dict[str, LinkProxy] = {}
 
     def now_s(self) -> float:
         """Returns the time since the start of the script."""
@@ -123,17 +124,12 @@
         for number, (zone, service) in enumerate(machines, 1):
             host = f"{network}.{number}"
             self.hosts[host] = (zone, service)
-            # Peers reach a node through a proxy at its own address.
-            self.proxies[host] = LinkProxy(
-                host, f"{network}.{number + 100}", standins.PEER_PORT
-            )
         await self.store.start()
         self.publish_configuration(1)
         for host, (zone, _) in self.hosts.items():
             server = Server(host, f"i-{host}", zone, self)
             self.servers[host] = server
             await server.start()
-            await self.proxies[host].start()
         self.write_servers()
         for host in self.hosts:
             await self.start_node(host)
@@ -142,6 +138,8 @@
     def publish_configuration(self, version: int) -> None:
         """Writes a version of the configuration to the store."""
         rows = [["/browse/", "safe", "x"], ["/order/", "unsafe", "y"]]
+        if version > 1:
+            rows.append(["/desk/", "safe", "y"])
         value = standins.configuration(version, rows, timeout_ms=8000)
         text = json.dumps(value)
         text = text.replace('"x"', '"catalogue"').replace('"y"', '"orders"')
@@ -155,7 +153,13 @@
             self.store.put(
                 f"servers/i-{host}",
                 standins.server_entry(
-                    host, service, zone, state, 6, self._sequence
+                    host,
+                    service,
+                    zone,
+                    state,
+                    6,
+                    self._sequence,
+                    self.servers[host].starts,
                 ),
             )
 
@@ -173,7 +177,7 @@
             "node": {"host": host, "zone": zone, "service": service},
             "addresses": {
                 "callers": f"{host}:{standins.CALLER_PORT}",
-                "peers": f"{self.proxies[host].node_host}:{standins.PEER_PORT}",
+                "peers": f"{host}:{standins.PEER_PORT}",
                 "ready": f"{host}:{standins.READY_PORT}",
                 "metrics": f"{host}:{standins.METRICS_PORT}",
                 "upstream": f"{host}:{standins.SERVER_PORT}",
@@ -209,16 +213,6 @@
                 stderr=log,
             )
 
-    async def kill_and_restart(self, host: str) -> None:
-        """Kills a node; it is started again after a short delay."""
-        self.note("node killed", node=host)
-        self.processes[host].kill()
-        await self.processes[host].wait()
-        await asyncio.sleep(0.1)
-        await self.start_node(host)
-        await self.wait_until_ready()
-        self.note("node ready again", node=host)
-
     async def wait_until_ready(self) -> None:
         """Waits until all nodes answer readiness checks."""
         async with asyncio.timeout(20):
@@ -259,6 +253,7 @@
         """Sends a request of a caller and returns its status."""
         self._number += 1
         attempt_id = f"r{self._number}"
+        path = path.format(id=attempt_id)
         self.note("sent", id=attempt_id, to=host, path=path)
         status = 0
         is_leaving, seal = False, ""
@@ -295,8 +290,6 @@
                 process.kill()
         for process in self.processes.values():
             await process.wait()
-        for proxy in self.proxies.values():
-            await proxy.stop()
         for server in self.servers.values():
             await server.stop()
         await self.store.stop()
@@ -306,7 +299,7 @@
     for _ in range(100):
         network = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}"
         try:
-            for number in (*range(1, 7), *range(101, 107)):
+            for number in MACHINES:
                 for port in PORTS:
                     with socket.socket() as probe:
                         probe.setsockopt(
