Keep the records of the review's scripts and end them cleanly

Each script names its record.txt, which now tells what was run, and writes it before it ends its processes, also when it is ended from outside or runs out of time. The stand-ins move to review/mesh.py, so that the folders of the review are its cases.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,6 @@
 """Another writer lists servers under a service that is not configured."""
 
 import asyncio
-import pathlib
 
 from mesh import EXIT_BROKEN, EXIT_HELD, EXIT_NOT_RUN, Mesh, main
 
@@ -12,7 +11,7 @@
 CONFIG_APPLY_S = 2.0
 STABILITY_WINDOW_S = 3.0
 TRAFFIC_S = 20.0
-CALLS_PER_S = 4.0
+CALLS_PER_S = 1.5
 MIN_REQUESTS = 20
 # Starts of the stand-in servers count from 1; the other writer states its own.
 LATER_START = 1000
@@ -74,4 +73,4 @@
 
 
 if __name__ == "__main__":
-    main(case, pathlib.Path(__file__).parent)
+    main(case)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,6 @@
 """A server that drains loses the answer of a long request."""
 
 import asyncio
-import pathlib
 
 import aiohttp
 from mesh import EXIT_BROKEN, EXIT_HELD, EXIT_NOT_RUN, Mesh, main
@@ -64,4 +63,4 @@
 
 
 if __name__ == "__main__":
-    main(case, pathlib.Path(__file__).parent)
+    main(case)
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # with the libraries that the build command of the deploy file has installed.
 set -e
 cd "$(dirname "$0")/.."
-PYTHONPATH="target/deps:review/common:." python3 -c "import mesh"
+PYTHONDONTWRITEBYTECODE=1 PYTHONPATH="target/deps:review:." python3 -c "import mesh"
--- a/review/common/mesh.py
+++ b/review/mesh.py
@@ -9,11 +9,13 @@
 import os
 import pathlib
 import random
+import signal
 import socket
 import sys
 import tempfile
 import time
 import tomllib
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import aiohttp
@@ -22,7 +24,7 @@
 from magnoliafork.platform.daemon import SETTINGS_VARIABLE
 from magnoliafork.tests.platform import standins
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 ZONES = ("workshop-a", "workshop-b", "barn-c")
 SERVICES = ("catalogue", "orders")
 MACHINES = range(1, 1 + len(ZONES) * len(SERVICES))
@@ -34,6 +36,11 @@
     standins.METRICS_PORT,
 )
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
+# Longest time of a case, without the end of its processes.
+TIMEOUT_S = 100.0
+
+
+Case = Callable[["Mesh", bool], Awaitable[int]]
 
 
 class Store(standins.StoreStandIn):
@@ -72,6 +79,12 @@
                 zone=self.zone,
             )
         answer = await super()._handle(request)
+        if names.SEAL in answer.headers:
+            self._mesh.note(
+                "run",
+                id=request.headers.get(names.ATTEMPT_ID, ""),
+                server=self.server_id,
+            )
         # What the server states may have changed while it ran the request.
         answer.headers.update(self.statements)
         is_lost = random.random() < self.lost_share
@@ -254,7 +267,7 @@
         self._number += 1
         attempt_id = f"r{self._number}"
         path = path.format(id=attempt_id)
-        self.note("sent", id=attempt_id, to=host, path=path)
+        self.note("sent", id=attempt_id, to=host, method=method, path=path)
         status = 0
         is_leaving, seal = False, ""
         try:
@@ -312,23 +325,32 @@
     raise OSError("no free addresses")
 
 
-def main(case: Any, folder: pathlib.Path) -> None:
-    """Runs a case; exits with 1 if the rule was broken, 2 if it cannot run."""
+def main(case: Case) -> None:
+    """Runs a case; exits with 1 if the rule was broken, 2 if it cannot run.
+
+    The first argument of the script names the file of the record.
+    """
+    record = pathlib.Path(sys.argv[1])
 
     async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        # A script that is ended from outside ends its processes as well.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         with tempfile.TemporaryDirectory() as work:
             mesh = Mesh(pathlib.Path(work))
             try:
-                async with asyncio.timeout(110):
+                async with asyncio.timeout(TIMEOUT_S):
                     await mesh.start()
                     return await case(mesh, os.environ.get("TROUBLE") != "0")
             finally:
+                mesh.write_record(record)
                 await mesh.close()
-                mesh.write_record(folder / "record.txt")
 
     try:
         code = asyncio.run(run())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"could not run: {type(error).__name__}: {error}")
         code = EXIT_NOT_RUN
     sys.exit(code)
