--- a/magnoliafork/mesh/metrics.py
+++ b/magnoliafork/mesh/metrics.py
@@ -18,14 +18,24 @@
 
 def _lines(node: "MeshNode") -> Iterator[str]:
     sender, receiver = node.sender.counters, node.receiver.counters
+    reads, updates = node.reader.counters, node.view_sync.counters
     config = node.view.config
     unlabelled = {
         "config_version": config.version if config is not None else 0,
         "view_era": node.view.era,
         "view_revision": node.view.revision,
-        "store_reads_total": node.reader.call_count,
+        "store_reads_total": reads.reads,
+        "store_catch_up_reads_total": reads.catch_up_reads,
+        "store_reads_failed_total": reads.failed,
+        "store_received_bytes_total": reads.received_bytes,
+        "longest_store_read_seconds": reads.longest_s,
         "is_reader": int(node.view_sync.is_reader),
         "view_lag_seconds": node.view_sync.lag_s,
+        "view_requests_total": updates.requests,
+        "view_requests_repeated_total": updates.repeated_requests,
+        "view_replies_outdated_total": updates.outdated_replies,
+        "view_whole_values_received_total": updates.whole_values,
+        "view_patches_received_total": updates.patches,
         "view_sent_bytes_total": node.view_sync.encoder.sent_bytes,
         "longest_tick_delay_seconds": node.longest_tick_delay_s,
         "requests_total": sender.requests,
--- a/magnoliafork/mesh/store_reader.py
+++ b/magnoliafork/mesh/store_reader.py
@@ -1,6 +1,7 @@
 """Reads the published state from the store."""
 
 import asyncio
+import dataclasses
 import logging
 import random
 from collections.abc import Callable
@@ -39,11 +40,48 @@
 READER_CHECK_INTERVAL_S = 0.1
 
 
+@dataclasses.dataclass(slots=True)
+class StoreReadCounters:
+    """Counts since the start.
+
+    Attributes:
+        reads: Reads of the store.
+        catch_up_reads: Those of them that were made because this node lags.
+        failed: Reads without a usable answer.
+        received_bytes: Values in the answers.
+        longest_s: Longest time until an answer, without the wait of a watch.
+    """
+
+    reads: int = 0
+    catch_up_reads: int = 0
+    failed: int = 0
+    received_bytes: int = 0
+    longest_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _CatchUp:
+    """A time in which this node reads because it lags.
+
+    Attributes:
+        begun_s: Loop time of its begin.
+        reads: Value of the counter of catch-up reads at that time.
+        received_bytes: Value of the counter of received bytes at that time.
+    """
+
+    begun_s: float
+    reads: int
+    received_bytes: int
+
+
 class StoreReader:
     """Keeps the view up to date from the store.
 
     Reads while the view is empty, while this node is a reader, and while it
     lags behind its peers.
+
+    Attributes:
+        counters: Counts of the reads.
     """
 
     def __init__(
@@ -68,7 +106,8 @@
         self._is_store_unavailable = False
         self._failing_since_s = 0.0
         self._needs_full_read = False
-        self.call_count = 0
+        self._catch_up: _CatchUp | None = None
+        self.counters = StoreReadCounters()
 
     async def run(self) -> None:
         """Reads until it is cancelled."""
@@ -84,6 +123,7 @@
                 await self._back_off()
 
     async def _step(self) -> None:
+        self._log_catch_up()
         if self._needs_full_read or not self._view.revision:
             await self._read_all()
         elif self._view_sync.is_reader or self._view_sync.is_behind:
@@ -91,9 +131,55 @@
         else:
             await asyncio.sleep(READER_CHECK_INTERVAL_S)
 
+    def _log_catch_up(self) -> None:
+        """Logs when reading because of a lag begins and ends."""
+        lags = self._view_sync.is_behind and not self._view_sync.is_reader
+        if lags == (self._catch_up is not None):
+            return
+        counters, now_s = self.counters, self._clock()
+        if self._catch_up is None:
+            self._catch_up = _CatchUp(
+                now_s, counters.catch_up_reads, counters.received_bytes
+            )
+            self._log.info(
+                Event.STORE_CATCH_UP_BEGUN,
+                lag_ms=int(self._view_sync.lag_s * 1000),
+                view_revision=self._view.revision,
+                peer_revision=self._view_sync.peer_revision,
+            )
+            return
+        begun, self._catch_up = self._catch_up, None
+        self._log.info(
+            Event.STORE_CATCH_UP_ENDED,
+            took_ms=int((now_s - begun.begun_s) * 1000),
+            reads=counters.catch_up_reads - begun.reads,
+            received_bytes=counters.received_bytes - begun.received_bytes,
+            view_revision=self._view.revision,
+        )
+
+    def _count(
+        self,
+        result: ViewDelta | HistoryGone | StoreUnavailable,
+        begun_s: float,
+        wait_s: float,
+    ) -> None:
+        counters = self.counters
+        counters.reads += 1
+        if self._catch_up is not None:
+            counters.catch_up_reads += 1
+        if isinstance(result, StoreUnavailable):
+            counters.failed += 1
+        if isinstance(result, ViewDelta):
+            counters.received_bytes += sum(
+                len(item.value) for item in result.items
+            )
+        took_s = self._clock() - begun_s - wait_s
+        counters.longest_s = max(counters.longest_s, took_s)
+
     async def _read_all(self) -> None:
-        self.call_count += 1
+        begun_s = self._clock()
         result = await self._store.read_all()
+        self._count(result, begun_s, 0.0)
         if isinstance(result, StoreUnavailable):
             await self._on_failure(result.detail)
             return
@@ -125,9 +211,10 @@
         # After a failure, an answer shows at once that the store is available.
         can_wait = self._view_sync.is_reader and not self._is_store_unavailable
         wait_s = WATCH_WAIT_S if can_wait else 0.0
-        self.call_count += 1
         era = self._view.era
+        begun_s = self._clock()
         result = await self._store.watch(self._view.revision, wait_s)
+        self._count(result, begun_s, wait_s)
         if isinstance(result, StoreUnavailable):
             await self._on_failure(result.detail)
             return
--- a/magnoliafork/mesh/view_sync.py
+++ b/magnoliafork/mesh/view_sync.py
@@ -58,6 +58,26 @@
     )
 
 
+@dataclasses.dataclass(slots=True)
+class ViewSyncCounters:
+    """Counts since the start.
+
+    Attributes:
+        requests: Requests for changes to peers.
+        repeated_requests: Those of them that were sent because an earlier one
+            had no reply in time.
+        outdated_replies: Replies that brought nothing new.
+        whole_values: Received values that were sent whole.
+        patches: Received values that were sent as patches.
+    """
+
+    requests: int = 0
+    repeated_requests: int = 0
+    outdated_replies: int = 0
+    whole_values: int = 0
+    patches: int = 0
+
+
 class ViewSync:
     """Keeps the view in sync with the views of peers.
 
@@ -70,6 +90,7 @@
             neighbour after the time given to `note_answers_after`, or None.
         is_reader: Whether this node reads the store.
         encoder: Encodes the replies to peers.
+        counters: Counts of the messages about changes.
     """
 
     def __init__(
@@ -112,6 +133,7 @@
         self._note_answers_after_s = float("inf")
         self.is_reader = False
         self.encoder = ViewEncoder(view)
+        self.counters = ViewSyncCounters()
         view.subscribe(lambda _: self.announce())
 
     # Decisions for the store reader.
@@ -169,6 +191,12 @@
             return 0.0
         return self._clock() - self._behind_since_s
 
+    @property
+    def peer_revision(self) -> int:
+        """Highest revision that a neighbour has announced."""
+        positions = [peer.position for peer in self._peers.values()]
+        return max(positions, default=StorePosition()).revision
+
     def _is_live(self, host: str, now_s: float) -> bool:
         peer = self._peers.get(host)
         return peer is not None and now_s - peer.received_at_s < PEER_TIMEOUT_S
@@ -394,11 +422,15 @@
         if host == self._requested_from:
             self._requested_from = ""
         if StorePosition(reply.era, reply.revision) <= self._view.position:
+            self.counters.outdated_replies += 1
             # The earlier value that a late patch needs may not be kept.
             if not reply.base_revision:
                 self._adopt_config(host, reply)
             self._catch_up(self._clock())
             return
+        patches = sum(map(bool, reply.patched_revisions))
+        self.counters.patches += patches
+        self.counters.whole_values += sum(map(bool, reply.values)) - patches
         delta = decode_reply(reply, self._view)
         if isinstance(delta, str):
             self._log.warning(
@@ -434,6 +466,7 @@
             accepts_parts=True,
         )
         if self._links.send(host, request):
+            self.counters.requests += 1
             self._requested_at_s = self._clock()
             self._requested_from = host
 
@@ -457,6 +490,7 @@
         if now_s - self._behind_since_s >= OTHER_ZONE_DELAY_S:
             candidates = candidates or list(ahead)
         if is_waiting:
+            self.counters.repeated_requests += 1
             others = [h for h in ahead if h != self._requested_from]
             candidates = others or candidates
         if candidates:
--- a/magnoliafork/observe/events.py
+++ b/magnoliafork/observe/events.py
@@ -45,6 +45,8 @@
     STORE_RESTORED = "store_restored"
     STORE_READ_IGNORED = "store_read_ignored"
     READING_CHANGED = "reading_changed"
+    STORE_CATCH_UP_BEGUN = "store_catch_up_begun"
+    STORE_CATCH_UP_ENDED = "store_catch_up_ended"
     VIEW_TOO_LARGE = "view_too_large"
     ITEM_UNREADABLE = "item_unreadable"
     UPSTREAM_CHANGED = "upstream_changed"
--- a/magnoliafork/tests/mesh/store_fleet.py
+++ b/magnoliafork/tests/mesh/store_fleet.py
@@ -146,7 +146,8 @@
 
     def __init__(self, fleet: "Fleet", host: str, seed: int) -> None:
         clock = asyncio.get_running_loop().time
-        log = EventLog("error", io.StringIO())
+        self.log_output = io.StringIO()
+        log = EventLog("info", self.log_output, clock)
         self._fleet = fleet
         self.host = host
         self.peers: set[str] = set()
--- a/magnoliafork/tests/mesh/test_store_reader.py
+++ b/magnoliafork/tests/mesh/test_store_reader.py
@@ -1,6 +1,7 @@
 """Nodes tell entries that expire in a store outage from removed ones."""
 
 import asyncio
+import json
 from collections.abc import Awaitable, Callable, Sequence
 
 import pytest
@@ -8,12 +9,14 @@
 from magnoliafork.mesh.published_store import HistoryGone
 from magnoliafork.mesh.store_reader import MAX_BACKOFF_S
 from magnoliafork.mesh.view import Change, ViewDelta
+from magnoliafork.observe.events import Event
 from magnoliafork.tests.mesh import store_fleet
 from magnoliafork.tests.mesh.store_fleet import (
     DRAIN_TIMEOUT_S,
     REWRITE_S,
     Fleet,
 )
+from magnoliafork.wire.messages import ViewAnnounce
 
 HOSTS = ("x0", "x1", "x2", "y0", "y1", "y2")
 STEP_S = 0.05
@@ -186,3 +189,32 @@
         assert node.view_sync.has_store_access(first)
 
     run(test, 0)
+
+
+def test_reads_of_a_node_that_lags_are_logged_and_counted() -> None:
+    """Nothing told that most nodes read the store beside the readers."""
+
+    async def test(fleet: Fleet) -> None:
+        readers = fleet.default_readers()
+        node = next(n for h, n in fleet.nodes.items() if h not in readers)
+        peer = next(h for h in node.peers if h not in readers)
+        fleet.kill(peer)
+        missing = node.view.revision + 5
+        node.view_sync.on_control(peer, ViewAnnounce(missing, 0, 3_600_000))
+        await asyncio.sleep(0.85)
+        node.view_sync.on_link_down(peer)
+        await asyncio.sleep(1.5)
+        lines = [
+            json.loads(line) for line in node.log_output.getvalue().splitlines()
+        ]
+        (begun,) = (
+            e for e in lines if e["event"] == Event.STORE_CATCH_UP_BEGUN
+        )
+        (ended,) = (
+            e for e in lines if e["event"] == Event.STORE_CATCH_UP_ENDED
+        )
+        assert begun["lag_ms"] >= 700
+        assert begun["peer_revision"] == missing
+        assert 1 <= ended["reads"] <= node.reader.counters.catch_up_reads
+
+    run(test, 0)
