--- a/magnoliafork/tests/mesh/store_fleet.py
+++ b/magnoliafork/tests/mesh/store_fleet.py
@@ -3,9 +3,11 @@
 import asyncio
 import collections
 import io
+import math
 import random
 from collections.abc import Awaitable, Callable
 
+from magnoliafork.mesh.model import StoredItem
 from magnoliafork.mesh.published_store import HistoryGone, StoreUnavailable
 from magnoliafork.mesh.reader_selection import rank_hosts, readers_per_zone
 from magnoliafork.mesh.store_reader import StoreReader
@@ -16,12 +18,33 @@
 from magnoliafork.platform.store import READ_TIMEOUT_S, watch_timeout_s
 from magnoliafork.tests import virtual_time
 from magnoliafork.tests.mesh.builders import PublishedState, config, entry
+from magnoliafork.wire import codec
 from magnoliafork.wire.messages import ControlMessage
 
 DRAIN_TIMEOUT_S = 2.0
 # Longest time until an entry that expired in an outage is written again.
 REWRITE_S = 2.0
 TICK_S = 0.1
+# Bytes of an answer of the store that are on their way to a node at a time.
+WINDOW_BYTES = 16_384
+# The store sends values as base64.
+ANSWER_BYTES_PER_VALUE_BYTE = 4 / 3
+
+
+class MachineLink:
+    """The network link of one machine, which its connections share."""
+
+    def __init__(self, bytes_per_s: float) -> None:
+        self._bytes_per_s = bytes_per_s
+        self._free_at_s = -math.inf
+        self.carried_bytes = 0
+
+    def carry(self, size_bytes: int, from_s: float) -> float:
+        """Returns the time at which bytes have passed the link."""
+        self.carried_bytes += size_bytes
+        start_s = max(from_s, self._free_at_s)
+        self._free_at_s = start_s + size_bytes / self._bytes_per_s
+        return self._free_at_s
 
 
 class Store:
@@ -73,6 +96,14 @@
     def configure(self, version: int) -> None:
         self.record(self.published.put("config", config(version)))
 
+    def publish(self, version: int, value: bytes) -> None:
+        """Publishes the bytes of a configuration, which decode to a version."""
+        self.published.revision += 1
+        revision = self.published.revision
+        self.published.item_codec.add(value, config(version))
+        item = StoredItem("config", revision, value)
+        self.record(ViewDelta(revision - 1, revision, (item,), self.era))
+
     def after(self, revision: int) -> ViewDelta:
         items = [
             item
@@ -113,11 +144,27 @@
             async with asyncio.timeout(timeout_s):
                 await asyncio.sleep(self._fleet.latency_s / 2)
                 delta = await self._wait(after_revision, wait_s)
+                await self._receive(delta)
                 await asyncio.sleep(self._fleet.latency_s / 2)
                 return delta
         except TimeoutError:
             return StoreUnavailable("no answer")
 
+    async def _receive(
+        self, delta: ViewDelta | HistoryGone | StoreUnavailable
+    ) -> None:
+        """Waits until an answer has passed the link of the machine."""
+        if not isinstance(delta, ViewDelta):
+            return
+        values_bytes = sum(len(item.value) for item in delta.items)
+        left_bytes = int(values_bytes * ANSWER_BYTES_PER_VALUE_BYTE)
+        link, loop = self._fleet.inbound[self._host], asyncio.get_running_loop()
+        while left_bytes > 0:
+            size_bytes = min(left_bytes, WINDOW_BYTES)
+            left_bytes -= size_bytes
+            arrival_s = link.carry(size_bytes, loop.time())
+            await asyncio.sleep(arrival_s - loop.time())
+
     async def _wait(
         self, after_revision: int, wait_s: float
     ) -> ViewDelta | HistoryGone | StoreUnavailable:
@@ -175,11 +222,14 @@
 
     def send(self, instance_id: str, message: ControlMessage) -> bool:
         loop = asyncio.get_running_loop()
+        frame_bytes = len(codec.encode(message))
+        sent_s = self._fleet.outbound[self.host].carry(frame_bytes, loop.time())
+        arrived_s = self._fleet.inbound[instance_id].carry(frame_bytes, sent_s)
         low_s, high_s = self._fleet.link_delay_s
         if self._fleet.slow_host in (self.host, instance_id):
             low_s = high_s = self._fleet.slow_host_delay_s
         at_s = max(
-            loop.time() + self.rng.uniform(low_s, high_s),
+            arrived_s + self.rng.uniform(low_s, high_s),
             self._sent_until_s.get(instance_id, 0.0) + 1e-6,
         )
         self._sent_until_s[instance_id] = at_s
@@ -223,8 +273,15 @@
 class Fleet:
     """Nodes that read one store; the first letter of a host is its zone."""
 
-    def __init__(self, hosts: tuple[str, ...], seed: int) -> None:
+    def __init__(
+        self,
+        hosts: tuple[str, ...],
+        seed: int,
+        link_bytes_per_s: float = math.inf,
+    ) -> None:
         self.hosts = hosts
+        self.outbound = {host: MachineLink(link_bytes_per_s) for host in hosts}
+        self.inbound = {host: MachineLink(link_bytes_per_s) for host in hosts}
         self.store = Store()
         self.latency_s = 0.004
         self.link_delay_s = (0.0005, 0.005)
@@ -286,11 +343,12 @@
     test: Callable[[Fleet], Awaitable[None]],
     seed: int,
     hosts: tuple[str, ...],
+    link_bytes_per_s: float = math.inf,
 ) -> None:
     """Runs a test on a fleet whose nodes have read the store."""
 
     async def main() -> None:
-        fleet = Fleet(hosts, seed)
+        fleet = Fleet(hosts, seed, link_bytes_per_s)
         for host, node in fleet.nodes.items():
             fleet.tasks[host] = asyncio.create_task(node.run())
         await asyncio.sleep(10 + seed / 4)
--- /dev/null
+++ b/magnoliafork/tests/mesh/test_change_storm.py
@@ -0,0 +1,74 @@
+"""Configurations in quick succession reach nodes whose links are slow."""
+
+import asyncio
+
+import pytest
+
+from magnoliafork.tests.mesh import store_fleet
+from magnoliafork.tests.mesh.store_fleet import Fleet
+from magnoliafork.tests.mesh.test_view_sync_bandwidth import PublishedRoutes
+
+NODES_PER_ZONE = 30
+HOSTS = tuple(f"{z}{n}" for z in "xyz" for n in range(NODES_PER_ZONE))
+# The slowest links of the grown deployments, 5 Mbit/s.
+LINK_BYTES_PER_S = 625_000
+# Time after which an accepted configuration must be in force.
+APPLY_LIMIT_S = 2.5
+# Time between two versions, and versions of a storm.
+GAP_S = 0.27
+VERSIONS = 24
+# Entries of upstreams that change beside each version.
+OTHER_CHANGES = 3
+
+
+async def _late_nodes(fleet: Fleet, route_count: int) -> set[tuple[int, str]]:
+    """Publishes a storm of versions.
+
+    Returns:
+        Versions that nodes did not have in time, with these nodes.
+    """
+    loop = asyncio.get_running_loop()
+    routes = PublishedRoutes(route_count)
+    late: set[tuple[int, str]] = set()
+    published_at_s: dict[int, float] = {}
+
+    def check() -> None:
+        due = [
+            version
+            for version, at_s in published_at_s.items()
+            if loop.time() - at_s > APPLY_LIMIT_S
+        ]
+        late.update(
+            (version, node.host)
+            for version in due[-1:]
+            for node in fleet.live()
+            if node.view.config_version < version
+        )
+
+    for version in range(2, VERSIONS + 2):
+        routes.change_one()
+        fleet.store.publish(version, routes.value(version))
+        published_at_s[version] = loop.time()
+        for number in range(OTHER_CHANGES):
+            index = (version * OTHER_CHANGES + number) % len(HOSTS)
+            fleet.store.announce(HOSTS[index])
+        await asyncio.sleep(GAP_S)
+        check()
+    await asyncio.sleep(APPLY_LIMIT_S)
+    check()
+    return late
+
+
+@pytest.mark.parametrize("route_count", [816, 2300])
+def test_storm_of_large_configurations_is_in_force_in_time(
+    route_count: int,
+) -> None:
+    """Nodes read every version that they had missed, and missed more of them.
+
+    All nodes lagged, and their reads of the store took longer than they waited.
+    """
+
+    async def test(fleet: Fleet) -> None:
+        assert await _late_nodes(fleet, route_count) == set()
+
+    store_fleet.run(test, 0, HOSTS, LINK_BYTES_PER_S)
