--- a/magnoliafork/tests/mesh/test_store_restore.py
+++ b/magnoliafork/tests/mesh/test_store_restore.py
@@ -6,7 +6,7 @@
 import pytest
 
 from magnoliafork.tests.mesh import store_fleet
-from magnoliafork.tests.mesh.store_fleet import Fleet
+from magnoliafork.tests.mesh.store_fleet import Fleet, Node
 
 HOSTS = tuple(f"{zone}{number}" for zone in "xyz" for number in range(3))
 STEP_S = 0.05
@@ -79,7 +79,7 @@
     async def test(fleet: Fleet) -> None:
         loop, rng = asyncio.get_running_loop(), random.Random(seed)
         operator = Operator(fleet, rng)
-        versions: dict[int, int] = {}
+        versions: dict[Node, int] = {}
         started_s: dict[str, float] = {}
         is_restoring = False
 
@@ -96,8 +96,8 @@
         def check() -> None:
             for node in fleet.live():
                 version = node.view.config_version
-                assert version >= versions.get(id(node), 0)
-                versions[id(node)] = version
+                assert version >= versions.get(node, 0)
+                versions[node] = version
             for host, since_s in operator.out_since_s.items():
                 if loop.time() > since_s + CHANGE_S:
                     assert set(fleet.users_of(host)) <= may_use(since_s)
