Count the lag of a node from its oldest missing change

Callers got 404 for routes that had been added 2.5 s before. In a storm of changes some peer is nearly always ahead, and the lag counted from the last moment at which none was. So nodes that got every change in time lagged for more than 0.7 s, and read each version, whole, from the store beside their readers.

Each announcement is now kept until the node has what it announces; the lag is the age of the oldest one. lag_ms of config_applied tells that of the changes which were applied.

test_node_that_gets_each_change_in_time_does_not_lag failed before.

--- a/magnoliafork/mesh/node.py
+++ b/magnoliafork/mesh/node.py
@@ -415,6 +415,6 @@
                 version=config.version,
                 revision=self.view.config_revision,
                 routes=len(config.routes),
-                lag_ms=int(self.view_sync.lag_s * 1000),
+                lag_ms=int(self.view_sync.applied_lag_s * 1000),
                 zones_out=sorted(self.view.zones_out),
             )
--- a/magnoliafork/mesh/view_sync.py
+++ b/magnoliafork/mesh/view_sync.py
@@ -1,13 +1,14 @@
 """Propagates the published state between nodes."""
 
+import collections
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from magnoliafork.mesh import reader_selection
 from magnoliafork.mesh.model import StorePosition
 from magnoliafork.mesh.reply_parts import PartialReply, split_reply
 from magnoliafork.mesh.upstream_table import UpstreamTable
-from magnoliafork.mesh.view import MeshView
+from magnoliafork.mesh.view import Change, MeshView
 from magnoliafork.mesh.view_codec import ViewEncoder, decode_reply
 from magnoliafork.observe.events import Event
 from magnoliafork.observe.logs import EventLog
@@ -40,17 +41,42 @@
 # Time after which a request for missing changes is repeated at another peer.
 # A reply of the whole state takes most of it on the slowest links, of 5 Mbit/s.
 REQUEST_TIMEOUT_S = 0.4
+# Announcements of a peer that are kept until this node has what they announce.
+# In more than that, the times of the latest are not known.
+MAX_PENDING_ANNOUNCEMENTS = 256
 # Announced age of the last store answer if a node does not read the store or
 # its reads fail.
 NO_STORE_ACCESS_MS = 3_600_000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Announced:
+    """A state that a neighbour has announced and this node lacks.
+
+    Attributes:
+        position: Position of the neighbour.
+        config_version: Version of its configuration.
+        at_s: Loop time of the announcement.
+    """
+
+    position: StorePosition
+    config_version: int
+    at_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class _Peer:
-    """Last announcement of a neighbour and the parts of its last reply."""
+    """Last announcement of a neighbour and the parts of its last reply.
+
+    Attributes:
+        pending: Its announcements of states that this node lacks, oldest first.
+    """
 
     position: StorePosition = StorePosition()
     config_version: int = 0
+    pending: collections.deque[_Announced] = dataclasses.field(
+        default_factory=collections.deque
+    )
     store_answer_at_s: float = float("-inf")
     received_at_s: float = float("-inf")
     partial_reply: PartialReply = dataclasses.field(
@@ -91,6 +117,8 @@
         is_reader: Whether this node reads the store.
         encoder: Encodes the replies to peers.
         counters: Counts of the messages about changes.
+        applied_lag_s: Time from the announcement of the changes that were
+            applied last until then.
     """
 
     def __init__(
@@ -117,7 +145,6 @@
         )
         self._fleet_change_count = -1
         self._announced_at_s = float("-inf")
-        self._behind_since_s: float | None = None
         self._requested_at_s = float("-inf")
         self._requested_from = ""
         self._bootstrap_peers: set[str] = set()
@@ -134,7 +161,8 @@
         self.is_reader = False
         self.encoder = ViewEncoder(view)
         self.counters = ViewSyncCounters()
-        view.subscribe(lambda _: self.announce())
+        self.applied_lag_s = 0.0
+        view.subscribe(self._on_changes)
 
     # Decisions for the store reader.
 
@@ -186,10 +214,69 @@
 
     @property
     def lag_s(self) -> float:
-        """Time since a peer first announced changes that are missing here."""
-        if self._behind_since_s is None:
-            return 0.0
-        return self._clock() - self._behind_since_s
+        """Time since a peer announced the oldest change that is missing here.
+
+        A node that gets each change in time does not lag, although its peers
+        are always ahead in a quick succession of changes.
+        """
+        missing_since_s = self._missing_since_s()
+        return self._clock() - missing_since_s if missing_since_s else 0.0
+
+    @property
+    def missing_config_versions(self) -> int:
+        """Number of announced configurations that are missing here."""
+        return len(
+            {
+                announced.config_version
+                for peer in self._peers.values()
+                for announced in peer.pending
+                if announced.config_version > self._view.config_version
+            }
+        )
+
+    def _missing_since_s(self) -> float | None:
+        self._drop_reached()
+        return min(
+            (p.pending[0].at_s for p in self._peers.values() if p.pending),
+            default=None,
+        )
+
+    def _drop_reached(self) -> None:
+        """Drops the announcements of states that this node has reached."""
+        for peer in self._peers.values():
+            while peer.pending and not self._lacks(peer.pending[0]):
+                peer.pending.popleft()
+
+    def _lacks(self, announced: _Announced) -> bool:
+        return (
+            announced.position > self._view.position
+            or announced.config_version > self._view.config_version
+        )
+
+    def _record_announced(self, peer: _Peer, now_s: float) -> None:
+        announced = _Announced(peer.position, peer.config_version, now_s)
+        if not self._lacks(announced):
+            # It may have lost what it had announced, in a restart for example.
+            peer.pending.clear()
+            return
+        is_known = bool(peer.pending) and (
+            peer.pending[-1].position >= peer.position
+            and peer.pending[-1].config_version >= peer.config_version
+        )
+        if not is_known and len(peer.pending) < MAX_PENDING_ANNOUNCEMENTS:
+            peer.pending.append(announced)
+
+    def _on_changes(self, _: Sequence[Change]) -> None:
+        now_s = self._clock()
+        reached_at_s = [
+            announced.at_s
+            for peer in self._peers.values()
+            for announced in peer.pending
+            if not self._lacks(announced)
+        ]
+        self.applied_lag_s = now_s - min(reached_at_s, default=now_s)
+        self._drop_reached()
+        self.announce()
 
     @property
     def peer_revision(self) -> int:
@@ -363,6 +450,7 @@
                         message.era, message.era_age_ms / 1000
                     )
                 self._record_view_age(message, now_s)
+                self._record_announced(peer, now_s)
                 self._catch_up(now_s)
             case messages.ViewRequest():
                 era = self._era_of(message.era)
@@ -448,6 +536,7 @@
         if host in self._peers:
             # Nothing newer is to be had there until its next announcement.
             self._peers[host].config_version = 0
+            self._peers[host].pending.clear()
         delta = decode_reply(reply, self._view)
         if isinstance(delta, str):
             self._log.warning(
@@ -472,22 +561,15 @@
 
     def _catch_up(self, now_s: float) -> None:
         """Requests the missing changes from a peer that is ahead."""
-        ahead = {
-            host: peer
-            for host, peer in self._peers.items()
-            if peer.position > self._view.position
-            or peer.config_version > self._view.config_version
-        }
-        if not ahead:
-            self._behind_since_s = None
+        missing_since_s = self._missing_since_s()
+        if missing_since_s is None:
             return
-        if self._behind_since_s is None:
-            self._behind_since_s = now_s
+        ahead = {host: p for host, p in self._peers.items() if p.pending}
         is_waiting = bool(self._requested_from)
         if is_waiting and now_s - self._requested_at_s < REQUEST_TIMEOUT_S:
             return
         candidates = [h for h in ahead if h in self._zone_hosts()]
-        if now_s - self._behind_since_s >= OTHER_ZONE_DELAY_S:
+        if now_s - missing_since_s >= OTHER_ZONE_DELAY_S:
             candidates = candidates or list(ahead)
         if is_waiting:
             self.counters.repeated_requests += 1
--- a/magnoliafork/tests/mesh/test_view_sync.py
+++ b/magnoliafork/tests/mesh/test_view_sync.py
@@ -407,3 +407,45 @@
         if isinstance(frame[2], messages.ViewRequest)
     ]
     assert len(requests) == 1
+
+
+def test_node_that_gets_each_change_in_time_does_not_lag() -> None:
+    """In a storm of changes, all nodes read the store beside their readers."""
+    cluster = FakeCluster()
+    node = cluster.nodes["x1"]
+    get_s, gap_s = 0.3, 0.2
+    first = cluster.revision + 1
+    start_s = cluster.now_s
+    deltas = [cluster.publish(version) for version in range(2, 22)]
+    announced = applied = 0
+    while applied < len(deltas):
+        cluster.now_s += 0.05
+        elapsed_s = cluster.now_s - start_s
+        while announced < min(len(deltas), elapsed_s // gap_s):
+            node.view_sync.on_control(
+                "x2", messages.ViewAnnounce(first + announced, 0, 3_600_000)
+            )
+            announced += 1
+        while applied < min(len(deltas), (elapsed_s - get_s) // gap_s):
+            node.view.apply(deltas[applied])
+            applied += 1
+        assert node.view_sync.lag_s <= get_s + 0.11
+    assert node.view_sync.lag_s == 0
+
+
+def test_lag_counts_from_the_oldest_missing_change() -> None:
+    """A node that gets old changes only would seem to keep up."""
+    cluster = FakeCluster()
+    node = cluster.nodes["x1"]
+    deltas = [cluster.publish(version) for version in (2, 3)]
+    for delta in deltas:
+        node.view_sync.on_control(
+            "x2", messages.ViewAnnounce(delta.revision, 0, 3_600_000)
+        )
+        cluster.now_s += 0.5
+    assert node.view_sync.lag_s == pytest.approx(1.0)
+    node.view.apply(deltas[0])
+    assert node.view_sync.applied_lag_s == pytest.approx(1.0)
+    assert node.view_sync.lag_s == pytest.approx(0.5)
+    cluster.now_s += MAX_LAG_S
+    assert node.view_sync.is_behind
