Keep the log of changes over a whole read

A node that had read the whole state forgot which items had changed, and sent the whole state to each peer that lagged behind: about 35 KB instead of 0.3 KB for 816 routes and 100 upstreams (calculated). Whole reads are the way to skip versions that nobody needs any more, so they must not cost that.

The differences are logged now. What came and went between two reads is not known; a peer whose revision lies between gets the whole state. test_whole_read_keeps_the_log_of_changes failed before; test_peers_of_a_reader_that_reads_the_whole_state_lack_nothing fails without the rule for revisions in between.

--- a/magnoliafork/mesh/view.py
+++ b/magnoliafork/mesh/view.py
@@ -32,6 +32,8 @@
 # changed. Patches of smaller values would save little.
 MIN_HISTORY_VALUE_BYTES = 4096
 MAX_HISTORY_VALUES = 8
+# Whole reads that are remembered, with the log of changes around them.
+MAX_UNLOGGED = 64
 # Removed entries that are remembered; the oldest are dropped.
 MAX_REMOVED = 1024
 
@@ -108,6 +110,11 @@
         # Keys and revisions; the values are those of the items.
         self._log: collections.deque[tuple[str, int]] = collections.deque()
         self._log_base = 0
+        # Revisions before and after each whole read. Items that came and went
+        # between them are not in the log.
+        self._unlogged: collections.deque[tuple[int, int]] = collections.deque(
+            maxlen=MAX_UNLOGGED
+        )
         self._history: dict[str, collections.deque[StoredItem]] = {}
         # Items of the earlier era that the restored store lacks.
         self._carried_keys: set[str] = set()
@@ -180,11 +187,12 @@
             changes = self._restore(delta)
             self.is_restored = True
         elif delta.base_revision == 0:
-            changes = self._replace(delta.items)
+            changes = self._replace(delta)
         else:
             changes = self._merge(delta.items)
-        if delta.base_revision == 0:
+        if is_new_era or not self.revision:
             self._log.clear()
+            self._unlogged.clear()
             self._log_base = delta.revision
         self.era, self.revision = delta.era, delta.revision
         if changes or is_new_era:
@@ -231,7 +239,10 @@
 
         If the log does not reach back that far, returns the whole state.
         """
-        if revision and revision >= self._log_base:
+        is_logged = revision >= self._log_base and not any(
+            before < revision < after for before, after in self._unlogged
+        )
+        if revision and is_logged:
             newest = {key: at for key, at in self._log if at > revision}
             items: list[StoredItem] = []
             for key, at in newest.items():
@@ -260,11 +271,33 @@
                 return item
         return None
 
-    def _add_to_log(self, item: StoredItem) -> None:
-        self._log.append((item.key, item.revision))
+    def _add_to_log(self, key: str, revision: int) -> None:
+        self._log.append((key, revision))
         if len(self._log) > MAX_LOG_ITEMS:
             _, self._log_base = self._log.popleft()
 
+    def _log_whole_read(self, changes: Iterable[Change], revision: int) -> None:
+        """Adds the changes that a whole read has brought to the log.
+
+        Without them, each peer that lags behind would need the whole state.
+
+        Args:
+            changes: Changes; removals have the revision before the read.
+            revision: Revision of the whole read.
+        """
+        if len(self._unlogged) == MAX_UNLOGGED:
+            self._log_base = max(self._log_base, self._unlogged[0][1])
+        self._unlogged.append((self.revision, revision))
+        logged = [
+            (
+                change.revision if change.key in self._items else revision,
+                change.key,
+            )
+            for change in changes
+        ]
+        for at, key in sorted(logged):
+            self._add_to_log(key, at)
+
     def _merge(self, items: Iterable[StoredItem]) -> list[Change]:
         changes = []
         for item in items:
@@ -273,12 +306,12 @@
                 continue
             if current is not None and current.revision >= item.revision:
                 continue
-            self._add_to_log(item)
+            self._add_to_log(item.key, item.revision)
             changes.append(self._set(item))
         return changes
 
-    def _replace(self, items: Iterable[StoredItem]) -> list[Change]:
-        fresh = {item.key: item for item in items}
+    def _replace(self, delta: ViewDelta) -> list[Change]:
+        fresh = {item.key: item for item in delta.items}
         changes = [
             self._set(StoredItem(key, self.revision, b""))
             for key in list(self._items)
@@ -291,6 +324,8 @@
                 continue
             if current is None or current.revision < item.revision:
                 changes.append(self._set(item))
+        if self.revision:
+            self._log_whole_read(changes, delta.revision)
         return changes
 
     def _restore(self, delta: ViewDelta) -> list[Change]:
--- a/magnoliafork/tests/mesh/test_view.py
+++ b/magnoliafork/tests/mesh/test_view.py
@@ -97,3 +97,52 @@
     found = published.view.upstream_at("10.0.0.1", 8000)
     assert found is not None
     assert found.upstream_id == "b"
+
+
+def test_whole_read_keeps_the_log_of_changes() -> None:
+    """After a whole read of a node, its followers fetched the whole state."""
+    published = PublishedState()
+    for name in "abcdef":
+        published.announce(entry(name))
+    reader = MeshView(published.item_codec.decode)
+    reader.apply(published.view.delta_after(0))
+    revision = reader.revision
+    published.announce(entry("b", slots=9))
+    published.withdraw(entry("c"))
+    published.configure(config(2))
+    reader.apply(published.view.delta_after(0))
+    delta = reader.delta_after(revision)
+    assert delta.base_revision == revision
+    changed = {item.key: bool(item.value) for item in delta.items}
+    assert changed == {"servers/b": True, "servers/c": False, "config": True}
+
+
+def _whole(published: PublishedState) -> ViewDelta:
+    delta = published.view.delta_after(0)
+    return ViewDelta(0, delta.revision, delta.items)
+
+
+def test_peers_of_a_reader_that_reads_the_whole_state_lack_nothing() -> None:
+    """An entry that came and went between two whole reads would stay."""
+    for seed in range(30):
+        rng = random.Random(seed)
+        published = PublishedState()
+        decode = published.item_codec.decode
+        reader, peer = MeshView(decode), MeshView(decode)
+        for step in range(300):
+            upstream = entry(rng.choice("abcdefgh"), slots=step + 1)
+            if rng.random() < 0.4:
+                published.withdraw(upstream)
+            else:
+                published.announce(upstream)
+            if rng.random() < 0.1:
+                reader.apply(published.view.delta_after(reader.revision))
+            if rng.random() < 0.2:
+                reader.apply(_whole(published))
+            if rng.random() < 0.2:
+                # The peer gets changes from another node as well.
+                peer.apply(published.view.delta_after(peer.revision))
+            if rng.random() < 0.3:
+                assert peer.apply(reader.delta_after(peer.revision))
+            if peer.revision == published.revision:
+                assert peer.upstreams == published.view.upstreams
