Take the earliest known end of an outage for its end everywhere

A removed upstream could get requests up to 0.2 s beyond its drain timeout after an outage. A reader that was answered 0.5 s after others, and had no link to them, reported a second outage; and entries that had expired kept the time that the first known end gave them when an earlier one became known.

--- a/magnoliafork/mesh/store_reader.py
+++ b/magnoliafork/mesh/store_reader.py
@@ -244,6 +244,11 @@
             return
         self._is_store_unavailable = False
         answered_at_s = self._view_sync.peer_answered_at_s or now_s
+        # A node without a link to the one that was answered first is told of
+        # the end by others.
+        told_end_s = self._table.outage_ended_after_s(self._failing_since_s)
+        if told_end_s is not None:
+            answered_at_s = min(answered_at_s, told_end_s)
         # It is no outage if the store answered others all the time.
         if answered_at_s - self._failing_since_s >= MIN_OUTAGE_S:
             self._table.record_outage_end(now_s - answered_at_s)
--- a/magnoliafork/mesh/upstream_table.py
+++ b/magnoliafork/mesh/upstream_table.py
@@ -82,13 +82,30 @@
         """Records that the store became available again some time ago."""
         ended_at_s = self._clock() - ago_s
         later_s = ended_at_s - self._outage_ended_at_s
-        if later_s > SAME_OUTAGE_S or -SAME_OUTAGE_S < later_s < 0:
+        if later_s > SAME_OUTAGE_S:
             self._outage_ended_at_s = ended_at_s
+        elif -SAME_OUTAGE_S < later_s < 0:
+            self._outage_ended_at_s = ended_at_s
+            self._shorten_use()
+
+    def _shorten_use(self) -> None:
+        """Ends the use of expired entries earlier after an earlier end."""
+        usable_until_s = self._returned_at_s() + self._use_s
+        for upstream_id, expired in self._expired.items():
+            if expired.usable_until_s > usable_until_s:
+                self._expired[upstream_id] = _ExpiredEntry(
+                    expired.entry, usable_until_s
+                )
 
     def outage_ended_ago_s(self) -> float:
         """Returns the time since the last outage ended, at most an hour."""
         return min(self._clock() - self._outage_ended_at_s, MAX_OUTAGE_AGE_S)
 
+    def outage_ended_after_s(self, since_s: float) -> float | None:
+        """Returns when the last outage ended, if that was after a time."""
+        ended_at_s = self._outage_ended_at_s
+        return ended_at_s if ended_at_s > since_s else None
+
     def record_restore(self, era: int, ago_s: float) -> None:
         """Records that the store was restored to an era some time ago.
 
@@ -185,9 +202,7 @@
         if self._view.is_restored and self._view.era > self._era:
             self.record_restore(self._view.era, 0.0)
         self._era = max(self._era, self._view.era)
-        returned_at_s = self._outage_ended_at_s
-        if self._restored_at_s is not None:
-            returned_at_s = max(returned_at_s, self._restored_at_s)
+        returned_at_s = self._returned_at_s()
         may_have_expired = now_s < returned_at_s + OUTAGE_EFFECT_WINDOW_S
         usable_until_s = returned_at_s + self._use_s
         for change in changes:
@@ -204,6 +219,12 @@
                 )
         self.change_count += 1
 
+    def _returned_at_s(self) -> float:
+        """Returns the end of the last outage or the last restore."""
+        if self._restored_at_s is None:
+            return self._outage_ended_at_s
+        return max(self._outage_ended_at_s, self._restored_at_s)
+
     def _drop_expired_at(self, entry: UpstreamEntry) -> None:
         for upstream_id, expired in list(self._expired.items()):
             known = expired.entry
--- a/magnoliafork/tests/mesh/test_upstream_table.py
+++ b/magnoliafork/tests/mesh/test_upstream_table.py
@@ -192,3 +192,22 @@
     published.announce(entry("a", started_unix_ms=2))
     assert ids(table) == ["a"]
     assert not table.is_leaving(entry("a", started_unix_ms=2))
+
+
+def test_earlier_end_of_an_outage_shortens_the_use_of_expired_entries() -> None:
+    """A removed upstream got requests after its drain timeout."""
+    published, table, clock = make()
+    published.announce(entry("a"))
+    end_outage(table, clock)
+    published.withdraw(entry("a"))
+    table.record_outage_end(0.3)
+    clock.now_s += REWRITE_WINDOW_S - 0.2
+    assert ids(table) == []
+
+
+def test_end_of_an_outage_is_told_since_its_begin() -> None:
+    """A reader that was answered later reported a second outage."""
+    _, table, clock = make()
+    end_outage(table, clock)
+    assert table.outage_ended_after_s(clock.now_s - 1.0) == clock.now_s
+    assert table.outage_ended_after_s(clock.now_s) is None
