Read an answer of the store as long as its bytes arrive

An answer that took more than 1.5 s was dropped and asked for again, and was as large the next time, or larger: nodes whose links were full never got the state.

The limit is now the time without any bytes; 10 s for an answer in all. The store of the simulated fleet follows, and its messages take the link of the receiver when they arrive there: they took it when they were sent, so that a slow sender blocked others.

--- a/magnoliafork/platform/store.py
+++ b/magnoliafork/platform/store.py
@@ -13,8 +13,12 @@
 from magnoliafork.mesh.view import ViewDelta
 from magnoliafork.platform import names
 
-# The store answers in a few milliseconds; after this it counts as unavailable.
+# The store answers in a few milliseconds; after this time without any bytes it
+# counts as unavailable.
 READ_TIMEOUT_S = 1.5
+# Longest time of an answer whose bytes keep arriving. An answer that is dropped
+# on its way is as large the next time, or larger.
+MAX_READ_S = 10.0
 # Time that a watch may take beyond its requested wait.
 WATCH_GRACE_S = 0.8
 # A page has about 1 MB of values, and a third more as base64. A watch may hold
@@ -122,9 +126,10 @@
         self, path: str, query: dict[str, str], timeout_s: float
     ) -> _Answer | HistoryGone | StoreUnavailable:
         self.call_count += 1
+        end_s = asyncio.get_running_loop().time() + MAX_READ_S
         try:
             async with (
-                asyncio.timeout(timeout_s),
+                asyncio.timeout(timeout_s) as timeout,
                 self._session.get(self._url + path, params=query) as answer,
             ):
                 if answer.status not in (_OK, _GONE):
@@ -132,7 +137,7 @@
                 era = _era(answer.headers.get(names.STORE_ERA))
                 if answer.status == _GONE:
                     return HistoryGone(era)
-                body = await _read_limited(answer.content)
+                body = await _read_limited(answer.content, timeout, end_s)
                 if body is None and path == names.WATCH_PATH:
                     # The whole state is read in pages instead.
                     return HistoryGone(era)
@@ -142,7 +147,7 @@
                     )
                 return _Answer(era, json.loads(body))
         except TimeoutError:
-            return StoreUnavailable(f"no answer for {timeout_s} s")
+            return StoreUnavailable("no answer in time")
         # A deeply nested answer exceeds the recursion limit of the decoder.
         except (
             aiohttp.ClientError,
@@ -153,10 +158,20 @@
             return StoreUnavailable(f"{type(error).__name__}: {error}")
 
 
-async def _read_limited(content: aiohttp.StreamReader) -> bytes | None:
-    """Reads a whole body; returns None if it is over the limit."""
+async def _read_limited(
+    content: aiohttp.StreamReader, timeout: asyncio.Timeout, end_s: float
+) -> bytes | None:
+    """Reads a whole body; returns None if it is over the limit.
+
+    Args:
+        content: Where the body is read from.
+        timeout: Is extended as long as bytes arrive.
+        end_s: Loop time beyond which it is not extended.
+    """
+    loop = asyncio.get_running_loop()
     body = bytearray()
     async for piece in content.iter_any():
+        timeout.reschedule(min(loop.time() + READ_TIMEOUT_S, end_s))
         body += piece
         if len(body) > MAX_ANSWER_BYTES:
             return None
--- a/magnoliafork/tests/mesh/store_fleet.py
+++ b/magnoliafork/tests/mesh/store_fleet.py
@@ -15,7 +15,11 @@
 from magnoliafork.mesh.view import MeshView, ViewDelta
 from magnoliafork.mesh.view_sync import ViewSync
 from magnoliafork.observe.logs import EventLog
-from magnoliafork.platform.store import READ_TIMEOUT_S, watch_timeout_s
+from magnoliafork.platform.store import (
+    MAX_READ_S,
+    READ_TIMEOUT_S,
+    watch_timeout_s,
+)
 from magnoliafork.tests import virtual_time
 from magnoliafork.tests.mesh.builders import PublishedState, config, entry
 from magnoliafork.wire import codec
@@ -140,18 +144,22 @@
         self, after_revision: int, wait_s: float, timeout_s: float
     ) -> ViewDelta | HistoryGone | StoreUnavailable:
         self._fleet.store.call_count += 1
+        end_s = asyncio.get_running_loop().time() + MAX_READ_S
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as timeout:
                 await asyncio.sleep(self._fleet.latency_s / 2)
                 delta = await self._wait(after_revision, wait_s)
-                await self._receive(delta)
+                await self._receive(delta, timeout, end_s)
                 await asyncio.sleep(self._fleet.latency_s / 2)
                 return delta
         except TimeoutError:
             return StoreUnavailable("no answer")
 
     async def _receive(
-        self, delta: ViewDelta | HistoryGone | StoreUnavailable
+        self,
+        delta: ViewDelta | HistoryGone | StoreUnavailable,
+        timeout: asyncio.Timeout,
+        end_s: float,
     ) -> None:
         """Waits until an answer has passed the link of the machine."""
         if not isinstance(delta, ViewDelta):
@@ -164,6 +172,7 @@
             left_bytes -= size_bytes
             arrival_s = link.carry(size_bytes, loop.time())
             await asyncio.sleep(arrival_s - loop.time())
+            timeout.reschedule(min(loop.time() + READ_TIMEOUT_S, end_s))
 
     async def _wait(
         self, after_revision: int, wait_s: float
@@ -222,9 +231,18 @@
 
     def send(self, instance_id: str, message: ControlMessage) -> bool:
         loop = asyncio.get_running_loop()
-        frame_bytes = len(codec.encode(message))
-        sent_s = self._fleet.outbound[self.host].carry(frame_bytes, loop.time())
-        arrived_s = self._fleet.inbound[instance_id].carry(frame_bytes, sent_s)
+        size_bytes = len(codec.encode(message))
+        sent_s = self._fleet.outbound[self.host].carry(size_bytes, loop.time())
+        loop.call_at(sent_s, self._arrive, instance_id, message, size_bytes)
+        return True
+
+    def _arrive(
+        self, instance_id: str, message: ControlMessage, size_bytes: int
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        arrived_s = self._fleet.inbound[instance_id].carry(
+            size_bytes, loop.time()
+        )
         low_s, high_s = self._fleet.link_delay_s
         if self._fleet.slow_host in (self.host, instance_id):
             low_s = high_s = self._fleet.slow_host_delay_s
@@ -234,7 +252,6 @@
         )
         self._sent_until_s[instance_id] = at_s
         loop.call_at(at_s, self._deliver, instance_id, message)
-        return True
 
     def _deliver(self, instance_id: str, message: ControlMessage) -> None:
         target = self._fleet.nodes[instance_id]
--- a/magnoliafork/tests/platform/test_store.py
+++ b/magnoliafork/tests/platform/test_store.py
@@ -11,6 +11,7 @@
 from magnoliafork.mesh.view import ViewDelta
 from magnoliafork.platform import store
 from magnoliafork.platform.store import PlatformStore
+from magnoliafork.tests import virtual_time
 
 TIMEOUT_S = 20.0
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
@@ -119,3 +120,44 @@
         assert state.revision == 7
 
     asyncio.run(_with_store(page, test))
+
+
+def _in_pieces(body: bytes, pieces: int, gap_s: float) -> Answer:
+    async def answer(writer: asyncio.StreamWriter) -> None:
+        length = f"Content-Length: {len(body)}\r\n\r\n".encode()
+        writer.write(HEAD + length)
+        size = -(-len(body) // pieces)
+        for start in range(0, len(body), size):
+            await asyncio.sleep(gap_s)
+            writer.write(body[start : start + size])
+        await writer.drain()
+
+    return answer
+
+
+STATE = json.dumps({"items": [], "has_more": False, "as_of": 7}).encode()
+
+
+def test_answer_whose_bytes_keep_arriving_is_read() -> None:
+    """A large answer over a slow link was dropped and asked for again."""
+
+    async def test(client: PlatformStore) -> None:
+        assert await client.read_all() == ViewDelta(0, 7, (), 0)
+
+    gap_s = store.READ_TIMEOUT_S * 0.8
+    virtual_time.run(_with_store(_in_pieces(STATE, 5, gap_s), test))
+
+
+@pytest.mark.parametrize(
+    "gap_s", [store.READ_TIMEOUT_S * 1.1, store.MAX_READ_S / 9]
+)
+def test_answer_that_stalls_or_never_ends_is_dropped(gap_s: float) -> None:
+    """A reader would wait while others could take over."""
+
+    async def test(client: PlatformStore) -> None:
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
+        assert isinstance(await client.read_all(), StoreUnavailable)
+        assert loop.time() - begun_s <= store.MAX_READ_S + 0.1
+
+    virtual_time.run(_with_store(_in_pieces(STATE, 12, gap_s), test))
