Skip versions that are already replaced in reads of the store

Callers got 404 for routes that had been added more than 2.5 s before, in a storm of configurations on slow links. Cause: an answer to a watch has each version since the last read, whole (87 KB for 816 routes, 240 KB for 2,300; a link of 5 Mbit/s carries 625 KB/s). A reader that did not keep up was sent more each time, and each node that lagged for 0.7 s read in the same way, one answer after the other, so that its link was full, its peers lagged, and read as well.

A node now asks for the whole state, which has the newest version only, where more than that would come as changes: judged by the last read, and by the configurations that peers have announced. A node that lags and is no reader leaves its link free for at least half of the time.

--- a/magnoliafork/mesh/store_reader.py
+++ b/magnoliafork/mesh/store_reader.py
@@ -12,6 +12,7 @@
     PublishedStore,
     StoreUnavailable,
 )
+from magnoliafork.mesh.store_read_plan import StoreReadPlan
 from magnoliafork.mesh.upstream_table import UpstreamTable
 from magnoliafork.mesh.view import MeshView, ViewDelta
 from magnoliafork.mesh.view_sync import ViewSync
@@ -26,6 +27,9 @@
 # Pause after a watch, so that one call returns changes in quick succession; a
 # twentieth of the time in which a change must be in force.
 BATCH_DELAY_S = 0.1
+# Shortest pause between two reads of a node that lags and is no reader. It
+# leaves the link to the answers of peers, which take far less of it.
+CATCH_UP_PAUSE_S = 0.5
 # Backoff after failures, doubled up to the maximum.
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
@@ -49,7 +53,7 @@
         catch_up_reads: Those of them that were made because this node lags.
         failed: Reads without a usable answer.
         received_bytes: Values in the answers.
-        longest_s: Longest time until an answer, without the wait of a watch.
+        longest_s: Longest time of a read that does not wait for changes.
     """
 
     reads: int = 0
@@ -106,7 +110,9 @@
         self._is_store_unavailable = False
         self._failing_since_s = 0.0
         self._needs_full_read = False
+        self._plan = StoreReadPlan()
         self._catch_up: _CatchUp | None = None
+        self._catch_up_due_s = float("-inf")
         self.counters = StoreReadCounters()
 
     async def run(self) -> None:
@@ -126,11 +132,31 @@
         self._log_catch_up()
         if self._needs_full_read or not self._view.revision:
             await self._read_all()
-        elif self._view_sync.is_reader or self._view_sync.is_behind:
-            await self._watch()
+        elif self._view_sync.is_reader:
+            await self._read_changes(self._view_sync.missing_config_versions)
+        elif (
+            self._view_sync.is_behind and self._clock() >= self._catch_up_due_s
+        ):
+            begun_s = self._clock()
+            missing = self._view_sync.missing_config_versions
+            # Peers that are slow to deliver have not announced the newest yet.
+            await self._read_changes(missing + 1 if missing else 0)
+            took_s = self._clock() - begun_s
+            pause_s = max(CATCH_UP_PAUSE_S, took_s)
+            self._catch_up_due_s = self._clock() + pause_s
         else:
             await asyncio.sleep(READER_CHECK_INTERVAL_S)
 
+    async def _read_changes(self, missing_config_versions: int) -> None:
+        if self._plan.wants_whole_state(
+            self._view.state_bytes,
+            missing_config_versions,
+            self._view.config_bytes,
+        ):
+            await self._read_all()
+        else:
+            await self._watch()
+
     def _log_catch_up(self) -> None:
         """Logs when reading because of a lag begins and ends."""
         lags = self._view_sync.is_behind and not self._view_sync.is_reader
@@ -173,8 +199,9 @@
             counters.received_bytes += sum(
                 len(item.value) for item in result.items
             )
-        took_s = self._clock() - begun_s - wait_s
-        counters.longest_s = max(counters.longest_s, took_s)
+        if not wait_s:
+            took_s = self._clock() - begun_s
+            counters.longest_s = max(counters.longest_s, took_s)
 
     async def _read_all(self) -> None:
         begun_s = self._clock()
@@ -205,7 +232,11 @@
                 view_era=self._view.era,
                 view_revision=self._view.revision,
             )
+            self._plan.record_whole_state(result, 0)
+        else:
+            self._plan.record_whole_state(result, self._view.revision)
         self._apply(result)
+        await asyncio.sleep(BATCH_DELAY_S)
 
     async def _watch(self) -> None:
         # After a failure, an answer shows at once that the store is available.
@@ -230,6 +261,7 @@
             self._needs_full_read = self._view.era == era
             return
         self._on_success()
+        self._plan.record_changes(result)
         self._apply(result)
         await asyncio.sleep(BATCH_DELAY_S)
 
--- a/magnoliafork/mesh/view.py
+++ b/magnoliafork/mesh/view.py
@@ -141,6 +141,23 @@
         """Version of the configuration, or 0."""
         return self.config.version if self.config is not None else 0
 
+    @property
+    def state_bytes(self) -> int:
+        """Size of all values."""
+        return sum(len(item.value) for item in self._items.values())
+
+    @property
+    def config_bytes(self) -> int:
+        """Size of the largest value of a configuration, or 0."""
+        return max(
+            (
+                len(self._items[key].value)
+                for key, decoded in self._decoded.items()
+                if isinstance(decoded, MeshConfig)
+            ),
+            default=0,
+        )
+
     @property
     def has_carried(self) -> bool:
         """Whether the view has items that the restored store lacks."""
--- a/magnoliafork/tests/mesh/test_change_storm.py
+++ b/magnoliafork/tests/mesh/test_change_storm.py
@@ -4,9 +4,11 @@
 
 import pytest
 
+from magnoliafork.mesh.store_reader import CATCH_UP_PAUSE_S
 from magnoliafork.tests.mesh import store_fleet
 from magnoliafork.tests.mesh.store_fleet import Fleet
 from magnoliafork.tests.mesh.test_view_sync_bandwidth import PublishedRoutes
+from magnoliafork.wire.messages import ViewAnnounce
 
 NODES_PER_ZONE = 30
 HOSTS = tuple(f"{z}{n}" for z in "xyz" for n in range(NODES_PER_ZONE))
@@ -72,3 +74,25 @@
         assert await _late_nodes(fleet, route_count) == set()
 
     store_fleet.run(test, 0, HOSTS, LINK_BYTES_PER_S)
+
+
+def test_node_that_lags_leaves_its_link_to_other_traffic() -> None:
+    """Reads of the store, one after the other, filled the link of the node."""
+
+    async def test(fleet: Fleet) -> None:
+        readers = fleet.default_readers()
+        node = next(n for h, n in fleet.nodes.items() if h not in readers)
+        peer = next(h for h in sorted(node.peers) if h not in readers)
+        routes = PublishedRoutes(816)
+        fleet.store.publish(2, routes.value(2))
+        await asyncio.sleep(APPLY_LIMIT_S)
+        fleet.kill(peer)
+        # A peer announces what it never delivers.
+        missing = fleet.store.published.revision + 1000
+        node.view_sync.on_control(peer, ViewAnnounce(missing, 0, 3_600_000))
+        reads = node.reader.counters.reads
+        await asyncio.sleep(10.0)
+        # One read for each pause at most.
+        assert 10 <= node.reader.counters.reads - reads <= 10 / CATCH_UP_PAUSE_S
+
+    store_fleet.run(test, 0, HOSTS, LINK_BYTES_PER_S)
