Refuse answers of upstreams whose status ends no request

The outcome is now unknown, as after any answer that is no HTTP.

The mesh node refused them before, which test_http_exchange.py now shows. The eight cases of test_status_that_ends_no_exchange_is_no_answer in proxy/test_upstream.py failed before. Statuses from 600 on are passed on as they are.

--- a/magnoliafork/proxy/upstream.py
+++ b/magnoliafork/proxy/upstream.py
@@ -47,6 +47,8 @@
 # Excludes surrogates, which stand for bytes that are not valid UTF-8.
 _HEADER_VALUE = re.compile(r"[\t -~\x80-\ud7ff\ue000-\U0010ffff]*")
 _BODILESS_STATUSES = frozenset({204, 304})
+# Lower ones are interim answers, or no HTTP.
+_FIRST_FINAL_STATUS = 200
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -198,6 +200,8 @@
     async def _read(
         self, method: str, response: aiohttp.ClientResponse
     ) -> UpstreamResult:
+        if response.status < _FIRST_FINAL_STATUS:
+            return _unusable_answer(f"status {response.status} ends no request")
         boot_id = response.headers.get(BOOT_ID_HEADER, "")
         is_not_run = response.headers.get(NOT_RUN_HEADER) == "1"
         if response.status == 503 and is_not_run:
--- a/magnoliafork/tests/mesh/test_http_exchange.py
+++ b/magnoliafork/tests/mesh/test_http_exchange.py
@@ -347,6 +347,21 @@
     assert isinstance(results[0], UpstreamUnknown)
 
 
+@pytest.mark.parametrize("status", ["000", "007", "099", "101"])
+def test_status_that_ends_no_exchange_is_no_answer(status: str) -> None:
+    """Callers would get an answer with the status 000."""
+
+    async def respond(
+        writer: asyncio.StreamWriter, attempt: str, _: int
+    ) -> None:
+        content = answer(attempt).replace(b"200 OK", status.encode() + b" Odd")
+        writer.write(content)
+        writer.close()
+
+    results, _ = run(respond, is_repeatable=False)
+    assert isinstance(results[0], UpstreamUnknown)
+
+
 def test_dropped_idle_connection_is_replaced_for_idempotent_requests() -> None:
     """Callers would get errors when the upstream closes idle connections."""
 
--- a/magnoliafork/tests/proxy/test_upstream.py
+++ b/magnoliafork/tests/proxy/test_upstream.py
@@ -134,6 +134,19 @@
         assert isinstance(results[0], UpstreamUnknown), WHOLE[:size]
 
 
+@pytest.mark.parametrize("status", ["000", "007", "099", "101"])
+@pytest.mark.parametrize("method", ["POST", "GET"])
+def test_status_that_ends_no_exchange_is_no_answer(
+    status: str, method: str
+) -> None:
+    """Callers got an answer of an upstream in trouble with the status 000."""
+    content = WHOLE.replace(b"200", status.encode())
+    results, raw = exchange(answer_with(content), make_request(method))
+    assert isinstance(results[0], UpstreamUnknown)
+    assert results[0].reason is UnknownReason.UPSTREAM_BROKE
+    assert len(raw.heads) == 1
+
+
 def test_repeatable_request_is_not_repeated_on_a_broken_kept_connection() -> (
     None
 ):
