Let other nodes read while a reader's answer takes long

A reader whose link is full or slow counted as one with access to the store for 3.5 s and longer, since its answers may now take 10 s, and its zone waited. A node that took over then read every version of that time, whole.

A read that takes 0.8 s beyond its wait is logged (store_read_slow) and told to the neighbours as missing access, until one is faster; its answer may still arrive. A node that begins to read asks for the whole state.

--- a/magnoliafork/mesh/store_reader.py
+++ b/magnoliafork/mesh/store_reader.py
@@ -4,7 +4,8 @@
 import dataclasses
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 from magnoliafork.mesh.model import StorePosition
 from magnoliafork.mesh.published_store import (
@@ -21,6 +22,8 @@
 
 logger = logging.getLogger("magnoliafork")
 
+ReadResult = TypeVar("ReadResult")
+
 # Wait of a watch, which costs one call. A dead connection is detected that much
 # later. Both times stay below the time in which a change must be in force.
 WATCH_WAIT_S = 2.0
@@ -30,6 +33,8 @@
 # Shortest pause between two reads of a node that lags and is no reader. It
 # leaves the link to the answers of peers, which take far less of it.
 CATCH_UP_PAUSE_S = 0.5
+# Time that a read may take beyond its wait before other nodes read as well.
+SLOW_READ_S = 0.8
 # Backoff after failures, doubled up to the maximum.
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
@@ -110,6 +115,7 @@
         self._is_store_unavailable = False
         self._failing_since_s = 0.0
         self._needs_full_read = False
+        self._knows_recent_state = False
         self._plan = StoreReadPlan()
         self._catch_up: _CatchUp | None = None
         self._catch_up_due_s = float("-inf")
@@ -132,6 +138,10 @@
         self._log_catch_up()
         if self._needs_full_read or not self._view.revision:
             await self._read_all()
+        elif self._view_sync.is_reader and not self._knows_recent_state:
+            # A node takes over after nobody has read for seconds. The changes
+            # since then may be many versions.
+            await self._read_all()
         elif self._view_sync.is_reader:
             await self._read_changes(self._view_sync.missing_config_versions)
         elif (
@@ -145,6 +155,7 @@
             pause_s = max(CATCH_UP_PAUSE_S, took_s)
             self._catch_up_due_s = self._clock() + pause_s
         else:
+            self._knows_recent_state = False
             await asyncio.sleep(READER_CHECK_INTERVAL_S)
 
     async def _read_changes(self, missing_config_versions: int) -> None:
@@ -183,12 +194,36 @@
             view_revision=self._view.revision,
         )
 
-    def _count(
-        self,
-        result: ViewDelta | HistoryGone | StoreUnavailable,
-        begun_s: float,
-        wait_s: float,
-    ) -> None:
+    async def _read(
+        self, read: Awaitable[ReadResult], wait_s: float
+    ) -> ReadResult:
+        """Awaits a read; lets other nodes read as well if it takes long.
+
+        The answer may still arrive, over a link that is slow or full.
+        """
+        loop = asyncio.get_running_loop()
+        begun_s = self._clock()
+        timer = loop.call_later(wait_s + SLOW_READ_S, self._on_slow_read)
+        try:
+            result = await read
+        finally:
+            timer.cancel()
+        took_s = self._clock() - begun_s
+        if took_s < wait_s + SLOW_READ_S:
+            self._view_sync.reads_slowly = False
+        self._count(result, took_s, wait_s)
+        return result
+
+    def _on_slow_read(self) -> None:
+        if self._view_sync.reads_slowly:
+            return
+        self._view_sync.reads_slowly = True
+        self._log.warning(
+            Event.STORE_READ_SLOW, view_revision=self._view.revision
+        )
+        self._view_sync.announce()
+
+    def _count(self, result: object, took_s: float, wait_s: float) -> None:
         counters = self.counters
         counters.reads += 1
         if self._catch_up is not None:
@@ -200,18 +235,16 @@
                 len(item.value) for item in result.items
             )
         if not wait_s:
-            took_s = self._clock() - begun_s
             counters.longest_s = max(counters.longest_s, took_s)
 
     async def _read_all(self) -> None:
-        begun_s = self._clock()
-        result = await self._store.read_all()
-        self._count(result, begun_s, 0.0)
+        result = await self._read(self._store.read_all(), 0.0)
         if isinstance(result, StoreUnavailable):
             await self._on_failure(result.detail)
             return
         self._on_success()
         self._needs_full_read = False
+        self._knows_recent_state = True
         position = StorePosition(result.era, result.revision)
         if position < self._view.position:
             self._log.warning(
@@ -243,9 +276,9 @@
         can_wait = self._view_sync.is_reader and not self._is_store_unavailable
         wait_s = WATCH_WAIT_S if can_wait else 0.0
         era = self._view.era
-        begun_s = self._clock()
-        result = await self._store.watch(self._view.revision, wait_s)
-        self._count(result, begun_s, wait_s)
+        result = await self._read(
+            self._store.watch(self._view.revision, wait_s), wait_s
+        )
         if isinstance(result, StoreUnavailable):
             await self._on_failure(result.detail)
             return
--- a/magnoliafork/mesh/view_sync.py
+++ b/magnoliafork/mesh/view_sync.py
@@ -115,6 +115,7 @@
         peer_answered_at_s: Loop time of the first answer of the store to a
             neighbour after the time given to `note_answers_after`, or None.
         is_reader: Whether this node reads the store.
+        reads_slowly: Whether its reads take so long that others should read.
         encoder: Encodes the replies to peers.
         counters: Counts of the messages about changes.
         applied_lag_s: Time from the announcement of the changes that were
@@ -159,6 +160,7 @@
         self.peer_answered_at_s: float | None = None
         self._note_answers_after_s = float("inf")
         self.is_reader = False
+        self.reads_slowly = False
         self.encoder = ViewEncoder(view)
         self.counters = ViewSyncCounters()
         self.applied_lag_s = 0.0
@@ -174,10 +176,8 @@
     def has_store_access(self, host: str) -> bool:
         """Whether a node's reads of the store succeed, as far as is known."""
         if host == self._own_host:
-            return (
-                self._clock() - self.last_store_answer_s
-                < STORE_ACCESS_TIMEOUT_S
-            )
+            age_s = self._clock() - self.last_store_answer_s
+            return age_s < STORE_ACCESS_TIMEOUT_S and not self.reads_slowly
         peer = self._peers.get(host)
         if peer is None or host not in self._links.neighbours():
             return False
@@ -383,7 +383,7 @@
     def _announcement(self, now_s: float) -> messages.ViewAnnounce:
         age_s = now_s - self.last_store_answer_s
         age_ms = int(min(age_s * 1000, NO_STORE_ACCESS_MS))
-        if not self.is_reader:
+        if not self.is_reader or self.reads_slowly:
             age_ms = NO_STORE_ACCESS_MS
         if self.last_store_answer_s > self._view_fresh_at_s:
             self._view_fresh_at_s = self.last_store_answer_s
--- a/magnoliafork/observe/events.py
+++ b/magnoliafork/observe/events.py
@@ -44,6 +44,7 @@
     STORE_HISTORY_GONE = "store_history_gone"
     STORE_RESTORED = "store_restored"
     STORE_READ_IGNORED = "store_read_ignored"
+    STORE_READ_SLOW = "store_read_slow"
     READING_CHANGED = "reading_changed"
     STORE_CATCH_UP_BEGUN = "store_catch_up_begun"
     STORE_CATCH_UP_ENDED = "store_catch_up_ended"
--- a/magnoliafork/tests/mesh/test_change_storm.py
+++ b/magnoliafork/tests/mesh/test_change_storm.py
@@ -6,7 +6,7 @@
 
 from magnoliafork.mesh.store_reader import CATCH_UP_PAUSE_S
 from magnoliafork.tests.mesh import store_fleet
-from magnoliafork.tests.mesh.store_fleet import Fleet
+from magnoliafork.tests.mesh.store_fleet import Fleet, MachineLink
 from magnoliafork.tests.mesh.test_view_sync_bandwidth import PublishedRoutes
 from magnoliafork.wire.messages import ViewAnnounce
 
@@ -96,3 +96,28 @@
         assert 10 <= node.reader.counters.reads - reads <= 10 / CATCH_UP_PAUSE_S
 
     store_fleet.run(test, 0, HOSTS, LINK_BYTES_PER_S)
+
+
+def test_reader_with_a_slow_link_lets_others_read() -> None:
+    """Its zone waited for answers that took many seconds."""
+
+    async def test(fleet: Fleet) -> None:
+        readers = fleet.default_readers()
+        fleet.store.publish(2, PublishedRoutes(816).value(2))
+        await asyncio.sleep(APPLY_LIMIT_S)
+        for host in readers:
+            fleet.inbound[host] = MachineLink(LINK_BYTES_PER_S / 10)
+        late = await _late_nodes(fleet, 816)
+        assert not any(
+            fleet.nodes[h].view_sync.has_store_access(h) for h in readers
+        )
+        assert any(
+            n.view_sync.is_reader
+            for h, n in fleet.nodes.items()
+            if h not in readers
+        )
+        # Until others read: a watch, and the time until they have noticed.
+        others_late = [v for v, host in late if host not in readers]
+        assert max(others_late, default=0) * GAP_S < 4.0
+
+    store_fleet.run(test, 0, HOSTS, LINK_BYTES_PER_S)
