--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -262,6 +262,7 @@
         super().__init__()
         self.host, self.port, self.server_id = host, port, server_id
         self.work_s = work_s
+        self.slots = slots
         self.queue = queue
         self.runs = collections.Counter()
         self.lines = []
@@ -421,6 +422,8 @@
         self.network = network
         self.routes = routes
         self.memory_mb = memory_mb
+        # Memory of single machines by address, where it differs.
+        self.memory_mb_by_host = {}
         self.bounds = {
             "drain_timeout_ms": 2000,
             "grace_period_s": 6,
@@ -439,6 +442,9 @@
         self.sequence = 0
         self.ports = {}
 
+    def memory_mb_of(self, node):
+        return self.memory_mb_by_host.get(node.host, self.memory_mb)
+
     def fields(self, node):
         ports = self.ports
         return {
@@ -453,7 +459,7 @@
             "app_addr": f"{node.host}:{ports['app']}",
             "platform": {"address": self.store.address},
             "bounds": self.bounds,
-            "limits": {"max_fds": 4100, "memory_mb": self.memory_mb},
+            "limits": {"max_fds": 4100, "memory_mb": self.memory_mb_of(node)},
         }
 
     async def start(self, machines, server_settings=None):
@@ -481,7 +487,7 @@
                     raise CaseError(f"node {node.host} does not become ready")
                 await asyncio.sleep(0.1)
 
-    def publish_server(self, node, state="ready", slots=12):
+    def publish_server(self, node, state="ready"):
         self.sequence += 1
         self.store.put(
             f"servers/{node.server.server_id}",
@@ -491,7 +497,7 @@
                     "service": node.service,
                     "version": "v1",
                     "zone": node.zone,
-                    "slots": slots,
+                    "slots": node.server.slots,
                 },
                 "status": {
                     "state": state,
