--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,8 +1,8 @@
-"""Callers whose attempt ids are far longer than the limit of a head."""
+"""Long requests that a node accepts in the middle of its grace period."""
 
 import asyncio
-import contextlib
 import pathlib
+import signal
 import sys
 import time
 
@@ -11,129 +11,153 @@
 
 import fleet
 
-# As in sites/tisse-lan.toml.
-MEMORY_MB = 300
-# The head is over the limit of the configuration, 16,384 bytes.
-LONG_ID, SHORT_ID = 60_000, 16
-# Less than half of the work of an order.
-BUDGET_MS = 50
-CALLERS_PER_NODE = 30
-CROWD_S = 80.0
-# A process over its memory is killed and started again after a short delay.
-RESTART_DELAY_S = 0.5
-POLL_S = 0.02
-# Ends on two machines, three times on each, break the rule.
-MACHINES, ENDS = 2, 3
+# Of the deployment in `large/`.
+GRACE_PERIOD_S = 10.0
+BOUNDS = {"grace_period_s": 10, "drain_timeout_ms": 3000, "budget_slack": 430}
+TIMEOUT_MS, DEADLINE_MS, WORK_MS = 8000, 15_000, 6000
+# Seconds after SIGTERM at which requests are sent, all later than 3 s.
+SENT_AFTER_S = (3.5, 3.7, 3.9, 4.1, 4.3, 4.5)
 
 
-async def crowd_client(node, number, id_bytes, counts):
-    """Sends one order after the other and reads the answers."""
-    turn = 0
-    while True:
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            reader, writer = await asyncio.open_connection(*node.callers)
-            try:
-                while True:
-                    turn += 1
-                    attempt = f"{node.host}-{number}-{turn}-".ljust(id_bytes, "a")
-                    writer.write(
-                        fleet.request("POST", "/commande/", attempt, BUDGET_MS, b"x")
-                    )
-                    answer = await fleet.read_answer(reader)
-                    if answer is None:
-                        break
-                    counts[answer[0]] = counts.get(answer[0], 0) + 1
-                    if answer[1].get("connection", "").lower() == "close":
-                        break
-            finally:
-                writer.transport.abort()
-        await asyncio.sleep(0.2)
+async def long_request(node, connection, attempt, at_s, record):
+    """Sends a request at a time; returns its status, 0 for a closed connection.
 
+    None if it was refused, which promises that it has not run.
+    """
+    reader, writer = connection
+    await asyncio.sleep(max(0.0, at_s - time.monotonic()))
+    sent_s = time.monotonic()
+    path = f"/teinture/?work_ms={WORK_MS}"
+    writer.write(fleet.request("GET", path, attempt, DEADLINE_MS))
+    try:
+        answer = await fleet.read_answer(reader)
+    except (OSError, asyncio.IncompleteReadError):
+        answer = None
+    took_s = time.monotonic() - sent_s
+    status, headers, body = answer or (0, {}, b"")
+    seal = headers.get("magnoliafork-server-seal")
+    record(
+        f"answer to {attempt} from {node.host} after {took_s:.2f} s:"
+        f" {status}, seal {seal}, {body[:90]!r}"
+    )
+    return status, seal, time.monotonic()
 
-async def keep_memory_limit(deployment, node, ends, record):
-    """Kills the process whenever it is over the memory of its machine."""
-    limit_mb = deployment.memory_mb_of(node)
-    while True:
-        await asyncio.sleep(POLL_S)
-        peak_mb = node.peak_memory_mb() if node.is_running else 0.0
-        if node.is_running and peak_mb <= limit_mb:
-            continue
-        ends[node.host] = ends.get(node.host, 0) + 1
-        record(
-            f"{node.host}: {peak_mb:.0f} MB of {limit_mb} MB, killed"
-            f" (number {ends[node.host]})"
-        )
-        node.kill()
-        await asyncio.sleep(RESTART_DELAY_S)
-        node.start()
 
+async def short_requests(node, number, until_s):
+    """Sends one short request after the other, as consumers of the machine do.
 
-def has_broken(ends):
-    return sum(count >= ENDS for count in ends.values()) >= MACHINES
+    Opens a new connection after each answer that closes the last one.
+    """
+    turn = 0
+    while time.monotonic() < until_s:
+        try:
+            reader, writer = await asyncio.open_connection(*node.callers)
+        except OSError:
+            return
+        try:
+            is_open = True
+            while is_open and time.monotonic() < until_s:
+                turn += 1
+                attempt = f"short-{number}-{turn}"
+                path = "/teinture/?work_ms=300"
+                writer.write(fleet.request("GET", path, attempt, 15_000))
+                answer = await fleet.read_answer(reader)
+                if answer is None or answer[0] == 503:
+                    return
+                is_open = answer[1].get("connection", "").lower() != "close"
+        except (OSError, asyncio.IncompleteReadError):
+            return
+        finally:
+            writer.transport.abort()
 
 
 async def case(record, has_trouble):
     routes = [
         {
-            "prefix": "/commande/",
-            "kind": "unsafe",
-            "service": "atelier",
-            "timeout_ms": 1500,
-            "target_latency_ms": 500,
+            "prefix": "/teinture/",
+            "kind": "safe",
+            "service": "teinturerie",
+            "timeout_ms": TIMEOUT_MS,
+            "target_latency_ms": 2500,
         }
     ]
-    deployment = fleet.Fleet("127.46.10", routes, memory_mb=MEMORY_MB)
-    tasks = []
-    ends = {}
-    counts = {}
+    deployment = fleet.Fleet("127.46.9", routes, BOUNDS)
     try:
         await deployment.start(
-            [(zone, "atelier") for zone in ("joliette", "rawdon", "berthier")],
-            {"atelier": {"work_s": 0.16}},
-        )
-        await asyncio.sleep(4.0)
-        for number in range(12):
-            node = deployment.nodes[number % 3]
-            data = fleet.request("POST", "/commande/", f"calm-{number}", 3000)
-            answer = await fleet.request_once(node.callers, data)
-            if answer is None or answer[0] != 200:
-                raise fleet.CaseError("an order in calm is not served")
-        id_bytes = LONG_ID if has_trouble else SHORT_ID
-        record(
-            f"{CALLERS_PER_NODE} callers on each machine send orders with attempt"
-            f" ids of {id_bytes} bytes"
+            [(z, "teinturerie") for z in ("joliette", "rawdon", "berthier")],
+            {"teinturerie": {"work_s": 0.05}},
         )
-        tasks = [
-            asyncio.create_task(crowd_client(node, number, id_bytes, counts))
-            for node in deployment.nodes
-            for number in range(CALLERS_PER_NODE)
+        await asyncio.sleep(5.0)
+        node = deployment.nodes[0]
+        connections = [
+            await asyncio.open_connection(*node.callers) for _ in SENT_AFTER_S
         ]
-        tasks += [
-            asyncio.create_task(keep_memory_limit(deployment, node, ends, record))
-            for node in deployment.nodes
+        for number, (reader, writer) in enumerate(connections):
+            attempt = f"calm-{number}"
+            writer.write(fleet.request("GET", "/teinture/1", attempt, 15_000))
+            answer = await fleet.read_answer(reader)
+            if answer is None or answer[0] != 200:
+                raise fleet.CaseError("a request in calm is not served")
+        # Fewer than half of the zone's nodes are in, so consumers go on.
+        loops = [
+            asyncio.create_task(
+                short_requests(node, number, time.monotonic() + 6.0)
+            )
+            for number in range(3)
         ]
-        end_s = time.monotonic() + CROWD_S
-        noted_s = 0.0
-        while time.monotonic() < end_s and not has_broken(ends):
-            await asyncio.sleep(0.25)
-            if time.monotonic() >= noted_s + 2.0:
-                noted_s = time.monotonic()
-                sizes = [
-                    f"{node.memory_mb():.0f}"
-                    for node in deployment.nodes
-                    if node.is_running
-                ]
-                record(f"MB of the processes: {sizes}; answers {counts}")
-        for node in deployment.nodes:
-            record(
-                f"{node.host}: {len(node.server.spans)} runs,"
-                f" {ends.get(node.host, 0)} ends of the process"
+        await asyncio.sleep(0.5)
+        begun_s = time.monotonic()
+        if has_trouble:
+            record(f"SIGTERM to {node.host}")
+            node.signal(signal.SIGTERM)
+        tasks = [
+            asyncio.create_task(
+                long_request(
+                    node, connection, f"long-{number}", begun_s + at_s, record
+                )
+            )
+            for number, (connection, at_s) in enumerate(
+                zip(connections, SENT_AFTER_S)
             )
-        return fleet.BROKEN if has_broken(ends) else fleet.HELD
+        ]
+        answers = await asyncio.gather(*tasks)
+        await asyncio.gather(*loops)
+        if has_trouble:
+            for _ in range(100):
+                if not node.is_running:
+                    break
+                await asyncio.sleep(0.05)
+                if time.monotonic() > begun_s + GRACE_PERIOD_S:
+                    node.kill()
+            record(f"process of {node.host} has ended")
+        spans = {}
+        for other in deployment.nodes:
+            for attempt, begin_s, end_s in other.server.spans:
+                if not attempt.startswith("long-"):
+                    continue
+                spans.setdefault(attempt, []).append((begin_s, end_s))
+                ended = "broken off" if end_s is None else f"{end_s - begun_s:.2f}"
+                record(
+                    f"{attempt} at work at {other.host} from"
+                    f" {begin_s - begun_s:.2f} s to {ended}"
+                )
+        broken = 0
+        for number, (status, seal, ended_s) in enumerate(answers):
+            # The server was at work until the answer that was not its own.
+            running = [
+                begin_s
+                for begin_s, end_s in spans.get(f"long-{number}", [])
+                if end_s is None and begin_s < ended_s - 0.5
+            ]
+            if running and seal is None:
+                broken += 1
+                record(
+                    f"long-{number}: passed on to a server and ended with"
+                    f" {status} {ended_s - begun_s:.2f} s after SIGTERM"
+                )
+        record(f"{broken} requests broken off while a server was at work")
+        return fleet.BROKEN if broken else fleet.HELD
     finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
         await deployment.close()
 
 
--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -16,6 +16,7 @@
 import shutil
 import signal
 import socket
+import subprocess
 import sys
 import tempfile
 import time
@@ -359,8 +360,6 @@
             "MAGNOLIAFORK_NODE_FILE": str(path),
             **role.get("env", {}),
         }
-        import subprocess
-
         self.process = subprocess.Popen(
             role["run"].split(),
             cwd=ROOT,
@@ -413,10 +412,7 @@
 
 
 class Fleet:
-    """Store, servers and nodes of one deployment.
-
-    Args of `add`: address, zone and service of a machine.
-    """
+    """Store, servers and nodes of one deployment."""
 
     def __init__(self, network, routes, bounds=None, memory_mb=300):
         self.network = network
