--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 import pathlib
 
 cases = [pathlib.Path(f"{number}/case.py") for number in range(6, 11)]
-for path in [pathlib.Path("common-2/fleet.py"), *cases]:
+for path in [pathlib.Path("fleet_2.py"), *cases]:
     compile(path.read_text("utf-8"), str(path), "exec")
     print(f"{path}: compiles")
 END
--- a/review/common-2/fleet.py
+++ b/review/fleet_2.py
@@ -22,7 +22,7 @@
 import time
 import tomllib
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 START_TIMEOUT_S = 25.0
 
