Refuse late requests that may outlast the grace period

Cause: requests were accepted for half of the grace period, whatever time they might take. Half of 6 s leaves what is accepted last the rest of the time in which work may still be unfinished; half of 10 s does not. The log line request_failed of these requests has 2.2 to 3.2 s left until their deadline, so that neither the route's timeout nor the upstream ended them.

From 2.75 s after SIGTERM on, a request is accepted only if its deadline lies before the node begins to close. Others are refused at once with 503 and Retry-After, before an upstream is chosen. What arrives earlier is accepted as before, and so are short requests until half of the grace period.

Looked at: grace periods of 6 s and less (unchanged), safe and unsafe requests with and without bodies (one check), requests behind others on a connection (not started), the wait for a quota (compared before it), retries and hedges (keep the deadline), calls of peers (accepted for 1 s; their sender lives on).

--- a/magnoliafork/mesh/graceful_shutdown.py
+++ b/magnoliafork/mesh/graceful_shutdown.py
@@ -19,8 +19,11 @@
 # Share of the grace period in which requests are accepted. A request accepted
 # last may need the rest of it.
 ACCEPT_SHARE = 0.5
-# Time before the end of that share from which requests of callers are refused:
-# a busy loop handles the signal late, and requests arrive after they were sent.
+# Time in which requests are accepted whatever their deadline is. The deadline
+# of one that is accepted later must lie within the grace period.
+ACCEPT_ANY_S = 3.0
+# Time before the end of either from which requests of callers are refused: a
+# busy loop handles the signal late, and requests arrive after they were sent.
 ACCEPT_MARGIN_S = 0.25
 # Time reserved for closing before the process is killed: for the answers to
 # leave over slow links, and the last part for the end of the process.
@@ -77,6 +80,21 @@
         accept_s = self.grace_period_s * ACCEPT_SHARE - ACCEPT_MARGIN_S
         return now_s < self.begun_s + accept_s
 
+    def accepts_deadline(self, now_s: float, deadline_s: float) -> bool:
+        """Whether a request that may take until a deadline is accepted.
+
+        >>> plan = ShutdownPlan(100.0, grace_period_s=10.0)
+        >>> plan.accepts_deadline(102.7, deadline_s=110.7)
+        True
+        >>> plan.accepts_deadline(103.5, deadline_s=111.5)
+        False
+        >>> plan.accepts_deadline(103.5, deadline_s=109.2)
+        True
+        """
+        accept_s = min(ACCEPT_ANY_S, self.grace_period_s * ACCEPT_SHARE)
+        is_early = now_s < self.begun_s + accept_s - ACCEPT_MARGIN_S
+        return is_early or deadline_s <= self.end_s
+
     def retry_after_s(self, now_s: float) -> float:
         """Returns how long a refused caller waits until the node is back."""
         return bounded_retry_after_s(self.end_s - now_s + RESTART_S)
--- a/magnoliafork/mesh/node.py
+++ b/magnoliafork/mesh/node.py
@@ -381,7 +381,7 @@
         plan = ShutdownPlan(begun_s, self._settings.bounds.grace_period_s)
         self.shutdown_plan = plan
         self.ingress.is_stopping = True
-        self.sender.end_requests_by(plan.end_s)
+        self.sender.begin_shutdown(plan)
         self.log.info(
             Event.STOP_BEGUN,
             in_flight=self.ingress.in_flight,
--- a/magnoliafork/mesh/sender.py
+++ b/magnoliafork/mesh/sender.py
@@ -15,6 +15,7 @@
     designated_upstream,
     fingerprint,
 )
+from magnoliafork.mesh.graceful_shutdown import ShutdownPlan
 from magnoliafork.mesh.model import (
     MeshConfig,
     MeshRoute,
@@ -265,6 +266,7 @@
         self._log = log
         self._record_latency = record_latency
         self._end_s = math.inf
+        self._shutdown_plan: ShutdownPlan | None = None
         self._timeouts: set[asyncio.Timeout] = set()
         self.selector = UpstreamSelector(own_zone, rng, clock)
         self._attempts = Attempts(
@@ -310,6 +312,11 @@
             self._age_estimator.retain(config)
         return self._index.match(host, target.partition("?")[0])
 
+    def begin_shutdown(self, plan: ShutdownPlan) -> None:
+        """Refuses requests that a plan leaves no time; ends others by it."""
+        self._shutdown_plan = plan
+        self.end_requests_by(plan.end_s)
+
     def end_requests_by(self, end_s: float) -> None:
         """Gives requests that are pending at a time their outcome then.
 
@@ -329,6 +336,10 @@
         route = self._match(config, request.host, request.target)
         if route is None:
             return NotRun(NotRunReason.NO_ROUTE)
+        refusal = self._shutdown_refusal(request, route)
+        if refusal is not None:
+            self._log_refusal(request, route, refusal)
+            return refusal
         identified = self._tenants.keys.identify(config, route, request.api_key)
         if isinstance(identified, NotRun):
             self._log_refusal(request, route, identified)
@@ -376,6 +387,17 @@
         self._record_outcome(pending, outcome)
         return outcome
 
+    def _shutdown_refusal(
+        self, request: MeshRequest, route: MeshRoute
+    ) -> NotRun | None:
+        """Returns why a shutdown leaves no time for a request, or None."""
+        plan, now_s = self._shutdown_plan, self._clock()
+        deadline_s = now_s + _timeout_s(request, route)
+        if plan is None or plan.accepts_deadline(now_s, deadline_s):
+            return None
+        retry_after_ms = int(plan.retry_after_s(now_s) * 1000)
+        return NotRun(NotRunReason.LEAVING, retry_after_ms)
+
     def _new_pending(
         self,
         request: MeshRequest,
@@ -384,9 +406,7 @@
         identified: Identified,
     ) -> _PendingRequest:
         service = self._split.pick(route)
-        timeout_s = route.timeout_s
-        if request.remaining_s is not None:
-            timeout_s = min(timeout_s, request.remaining_s)
+        timeout_s = _timeout_s(request, route)
         kind = int(route.target_latency_s * 1000)
         age_s = self._age_estimator.age_s(
             route,
@@ -695,7 +715,7 @@
         refusal: NotRun,
         tenant: str = "",
     ) -> None:
-        """Logs a request that is refused for its key or its tenant's quota."""
+        """Logs a request that is refused before an upstream is chosen."""
         config = self._view.config
         self._log.info(
             Event.REQUEST_REFUSED,
@@ -743,6 +763,13 @@
         )
 
 
+def _timeout_s(request: MeshRequest, route: MeshRoute) -> float:
+    """Returns the longest time in which a request gets its outcome."""
+    if request.remaining_s is None:
+        return route.timeout_s
+    return min(route.timeout_s, request.remaining_s)
+
+
 def _is_refused_suspect(result: NotRun) -> bool:
     """Whether a request is refused for a time because it crashes upstreams."""
     return (
--- a/magnoliafork/tests/platform/test_planned_stop.py
+++ b/magnoliafork/tests/platform/test_planned_stop.py
@@ -2,10 +2,13 @@
 
 import asyncio
 
+import pytest
+
 from magnoliafork.mesh.graceful_shutdown import ShutdownPlan
 from magnoliafork.mesh.settings import Bounds
-from magnoliafork.tests.platform.standins import CALLER_PORT
-from magnoliafork.tests.platform.test_end_to_end import Fleet, run
+from magnoliafork.platform import names
+from magnoliafork.tests.platform.standins import CALLER_PORT, configuration
+from magnoliafork.tests.platform.test_end_to_end import ROUTES, Fleet, run
 from magnoliafork.tests.platform.test_kept_connections import post_head
 
 HOST = "127.0.7.1"
@@ -97,3 +100,51 @@
         assert node.ingress.cut == 0
 
     run(test)
+
+
+LONG_TIMEOUT_MS = 8000
+LATE_S = 3.4
+
+
+@pytest.mark.parametrize("grace_s", [8.0, 10.0])
+@pytest.mark.parametrize(
+    ("method", "path", "body"),
+    [("GET", "/a/", b""), ("POST", "/pay/", b"10"), ("POST", "/a/", b"10")],
+    ids=["safe", "unsafe", "safe with a body"],
+)
+def test_late_request_that_may_outlast_the_grace_period_is_refused_at_once(
+    method: str, path: str, body: bytes, grace_s: float
+) -> None:
+    """Long requests were accepted with 6 s left and broken off unanswered."""
+
+    async def test(fleet: Fleet) -> None:
+        node, loop = fleet.nodes[HOST], asyncio.get_running_loop()
+        fleet.store.put(
+            "op/config", configuration(2, ROUTES, timeout_ms=LONG_TIMEOUT_MS)
+        )
+        await fleet.wait_until(lambda: node.view.config_version == 2)
+        node._settings = node._settings.model_copy(
+            update={"bounds": Bounds(grace_period_s=grace_s)}
+        )
+        # The node closes once it is idle.
+        running = asyncio.create_task(fleet.request(HOST, "/a/?work_ms=1000"))
+        await fleet.wait_until(lambda: node.sender.counters.in_flight)
+        node._stop_requested_s = loop.time() - LATE_S
+        stopping = asyncio.create_task(node.stop())
+        await fleet.wait_until(lambda: node.shutdown_plan)
+        sent_s = loop.time()
+        long_headers = {names.DEADLINE_MS: "15000", names.ATTEMPT_ID: "long"}
+        refused = await fleet.request(
+            HOST, f"{path}?work_ms=7000", method, body, long_headers
+        )
+        assert refused.status == 503
+        assert float(refused.headers["Retry-After"]) > 0
+        assert loop.time() - sent_s < 0.5
+        assert not any(s.runs["long"] for s in fleet.servers.values())
+        # The time that its caller leaves ends within the grace period.
+        short = await fleet.request(HOST, path, method, body)
+        assert short.status == 200
+        assert (await running).status == 200
+        await stopping
+
+    run(test)
