Do not end requests before the last sixth of a short grace period

With a grace period of 4 s or less, a stopping node answered pending requests with 502 or 504 in the last 0.7 s of it, while their upstreams were at work: for 2 s, that is more than the last third.

Cause: the time reserved for closing was fixed. It is now at most a sixth of the grace period, and at least 0.3 s, which closing itself takes. From 4.2 s on, nothing changes.

--- a/magnoliafork/mesh/graceful_shutdown.py
+++ b/magnoliafork/mesh/graceful_shutdown.py
@@ -25,10 +25,15 @@
 # Time before the end of either from which requests of callers are refused: a
 # busy loop handles the signal late, and requests arrive after they were sent.
 ACCEPT_MARGIN_S = 0.25
-# Time reserved for closing before the process is killed: for the answers to
-# leave over slow links, and the last part for the end of the process.
+# Time reserved for closing before the process is killed, for the answers to
+# leave over slow links. It takes no larger share of the grace period than this,
+# so that work which ends in the rest of it is not broken off.
 CLOSE_MARGIN_S = 0.7
-EXIT_MARGIN_S = 0.35
+CLOSE_MARGIN_SHARE = 1 / 6
+# Closing takes this long even if all answers leave at once.
+MIN_CLOSE_MARGIN_S = 0.3
+# Part of the time for closing that is left for the end of the process.
+EXIT_SHARE = 0.5
 # Time from the end of a process until its successor accepts connections.
 RESTART_S = 1.5
 
@@ -48,7 +53,16 @@
     @property
     def end_s(self) -> float:
         """Time at which requests get their outcome and closing begins."""
-        return self.begun_s + max(0.0, self.grace_period_s - CLOSE_MARGIN_S)
+        return self.begun_s + max(
+            0.0, self.grace_period_s - self._close_margin_s
+        )
+
+    @property
+    def _close_margin_s(self) -> float:
+        return min(
+            CLOSE_MARGIN_S,
+            max(MIN_CLOSE_MARGIN_S, self.grace_period_s * CLOSE_MARGIN_SHARE),
+        )
 
     def close_timeout_s(self, now_s: float) -> float:
         """Returns how long closing may wait for answers to leave.
@@ -57,7 +71,8 @@
         >>> round(plan.close_timeout_s(105.35), 3)
         0.3
         """
-        closed_s = self.begun_s + self.grace_period_s - EXIT_MARGIN_S
+        exit_s = self._close_margin_s * EXIT_SHARE
+        closed_s = self.begun_s + self.grace_period_s - exit_s
         return max(0.0, closed_s - now_s)
 
     def accepts_peer_calls(self, now_s: float) -> bool:
