Use no entry whose service is not configured

Cause: the entry with the latest start stood for its address, whatever service it named. request_refused has reason no_instance and nothing tried, and no item was unreadable.

An entry whose service the configuration does not name now stands for no address. What counts is the configuration as it is, so that an upstream may announce itself before, with or after the version that names its service.

Looked at: entries before, with and after a version and a version that removes the service; upstreams of all services; entries that expired in an outage, own ones and others' (both wrong, fixed); slots, cold state and health checks of the own upstream (followed the other entry, fixed); the share of the retry budget (counted entries, now machines); peers, tiers and quota owners (still use all addresses, since a machine without a configured service has a node too).

--- a/magnoliafork/mesh/cold_state_monitor.py
+++ b/magnoliafork/mesh/cold_state_monitor.py
@@ -63,28 +63,28 @@
         self._on_reachable = on_reachable
         self._check_task: asyncio.Task[None] | None = None
         self._next_check_s = 0.0
+        self._entry: UpstreamEntry | None = None
         self._was_zone_out = False
         self.health_checks = 0
 
     def on_changes(self, changes: Sequence[Change]) -> None:
         """Handles changes of the upstream's entry and of its zone."""
-        for change in changes:
-            after = change.after
-            if not isinstance(after, UpstreamEntry):
-                continue
-            if (after.host, after.port) == self._address:
-                self._on_entry(change.before, after)
+        before, after = self._entry, self._view.upstream_at(*self._address)
+        self._entry = after
+        # A change of the configuration may also change which entry counts.
+        if after is not None and after is not before:
+            is_new = any(c.after is after and c.before is None for c in changes)
+            self._on_entry(None if is_new else before, after)
         entry = self._table.at(*self._address)
         is_out = entry is not None and entry.zone in self._view.zones_out
         if self._was_zone_out and not is_out:
             self.mark_unknown("zone is back in service")
         self._was_zone_out = is_out
 
-    def _on_entry(self, before: object, after: UpstreamEntry) -> None:
-        is_same = isinstance(
-            before, UpstreamEntry
-        ) and before.is_same_incarnation(after)
-        if not is_same:
+    def _on_entry(
+        self, before: UpstreamEntry | None, after: UpstreamEntry
+    ) -> None:
+        if before is None or not before.is_same_incarnation(after):
             self.mark_unknown(f"new upstream {after.upstream_id}")
             self._on_reachable()
         elif after.cold_left_s > 0:
--- a/magnoliafork/mesh/metrics.py
+++ b/magnoliafork/mesh/metrics.py
@@ -26,6 +26,7 @@
         "config_version": config.version if config is not None else 0,
         "view_era": node.view.era,
         "view_revision": node.view.revision,
+        "upstreams_unconfigured": len(node.view.unconfigured_upstreams),
         "store_reads_total": reads.reads,
         "store_catch_up_reads_total": reads.catch_up_reads,
         "store_reads_failed_total": reads.failed,
--- a/magnoliafork/mesh/model.py
+++ b/magnoliafork/mesh/model.py
@@ -115,6 +115,11 @@
     limits: CallerLimits
     tenants: tuple[Tenant, ...] | None = None
 
+    def service_names(self) -> frozenset[str]:
+        """Returns the services that it defines or sends requests to."""
+        targets = (t.service for route in self.routes for t in route.targets)
+        return frozenset((*self.services, *targets))
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamEntry:
--- a/magnoliafork/mesh/node.py
+++ b/magnoliafork/mesh/node.py
@@ -449,6 +449,7 @@
                     zone=entry.zone,
                     is_present=change.after is not None,
                     is_ready=entry.is_ready,
+                    is_configured=self.view.is_configured(entry),
                     cold_for_ms=int(entry.cold_left_s * 1000),
                     revision=change.revision,
                 )
--- a/magnoliafork/mesh/sender.py
+++ b/magnoliafork/mesh/sender.py
@@ -598,7 +598,9 @@
         budget = self._budgets.get(service)
         if budget is None:
             limits = self._limits
-            nodes = max(1, len(self._view.upstreams))
+            entries = self._view.upstreams.values()
+            # Several entries may name one machine.
+            nodes = max(1, len({entry.host for entry in entries}))
             per_s = limits.slack * BUDGET_SHARE / limits.window_s / nodes
             budget = RetryBudget(
                 self._clock(),
--- a/magnoliafork/mesh/upstream_table.py
+++ b/magnoliafork/mesh/upstream_table.py
@@ -132,7 +132,8 @@
         """Returns the upstreams of a service that may get work.
 
         The entry of a crashed upstream stays in the view for a while. It is
-        left out once a newer upstream uses its address.
+        left out once a newer upstream uses its address. So is an entry that
+        expired in an outage.
         """
         self.tick(self._clock())
         zones_out = self._view.zones_out
@@ -145,6 +146,7 @@
             e.entry
             for e in self._expired.values()
             if e.entry.service == service
+            and self._view.upstream_at(e.entry.host, e.entry.port) is None
         ]
         return tuple(
             entry
@@ -178,8 +180,10 @@
         if known is not None:
             return known
         for expired in self._expired.values():
-            if (expired.entry.host, expired.entry.port) == (host, port):
-                return expired.entry
+            entry = expired.entry
+            is_there = (entry.host, entry.port) == (host, port)
+            if is_there and self._view.is_configured(entry):
+                return entry
         return None
 
     def tick(self, now_s: float) -> None:
@@ -207,7 +211,9 @@
         usable_until_s = returned_at_s + self._use_s
         for change in changes:
             before, after = change.before, change.after
-            if isinstance(after, UpstreamEntry):
+            if isinstance(after, UpstreamEntry) and (
+                self._view.is_configured(after)
+            ):
                 self._expired.pop(after.upstream_id, None)
                 self._drop_expired_at(after)
                 continue
--- a/magnoliafork/mesh/view.py
+++ b/magnoliafork/mesh/view.py
@@ -130,6 +130,8 @@
         self._by_service: dict[str, tuple[UpstreamEntry, ...]] = {}
         self._upstreams: dict[str, UpstreamEntry] = {}
         self._by_address: dict[tuple[str, int], UpstreamEntry] = {}
+        # Services that `config` names; None without a configuration.
+        self._service_names: frozenset[str] | None = None
 
     @property
     def position(self) -> StorePosition:
@@ -173,12 +175,33 @@
         """All decoded upstream entries by upstream id."""
         return self._upstreams
 
+    @property
+    def unconfigured_upstreams(self) -> dict[str, UpstreamEntry]:
+        """Entries whose service is not configured, by upstream id."""
+        return {
+            upstream_id: entry
+            for upstream_id, entry in self._upstreams.items()
+            if not self.is_configured(entry)
+        }
+
+    def is_configured(self, entry: UpstreamEntry) -> bool:
+        """Whether the configuration names the service of an entry.
+
+        An entry of another writer may name any service, at the address of an
+        upstream. Without a configuration, every entry counts.
+        """
+        names = self._service_names
+        return names is None or entry.service in names
+
     def upstreams_of(self, service: str) -> tuple[UpstreamEntry, ...]:
         """Returns the entries of a service, in order of id."""
         return self._by_service.get(service, ())
 
     def upstream_at(self, host: str, port: int) -> UpstreamEntry | None:
-        """Returns the most recently started upstream at an address."""
+        """Returns the most recently started upstream at an address.
+
+        Entries of services that are not configured do not count.
+        """
         return self._by_address.get((host, port))
 
     def subscribe(self, notify: Callable[[Sequence[Change]], None]) -> None:
@@ -431,12 +454,12 @@
             self._history.pop(item.key, None)
 
     def _rebuild_indexes(self) -> None:
+        self._find_config()
         self._upstreams = {
             decoded.upstream_id: decoded
             for decoded in self._decoded.values()
             if isinstance(decoded, UpstreamEntry)
         }
-        self._by_address = _latest_by_address(self._upstreams.values())
         by_service: dict[str, list[UpstreamEntry]] = {}
         for upstream_id in sorted(self._upstreams):
             entry = self._upstreams[upstream_id]
@@ -444,11 +467,17 @@
         self._by_service = {
             name: tuple(entries) for name, entries in by_service.items()
         }
+        self._by_address = _latest_by_address(
+            filter(self.is_configured, self._upstreams.values())
+        )
         self._zones_out = frozenset(
             decoded.zone
             for decoded in self._decoded.values()
             if isinstance(decoded, ZoneOut)
         )
+
+    def _find_config(self) -> None:
+        before = self.config
         for key, decoded in self._decoded.items():
             if not isinstance(decoded, MeshConfig):
                 continue
@@ -456,6 +485,8 @@
                 self.config = decoded
             if decoded.version == self.config.version:
                 self.config_revision = self._items[key].revision
+        if self.config is not None and self.config is not before:
+            self._service_names = self.config.service_names()
 
 
 def unreadable_changes(changes: Iterable[Change]) -> list[Change]:
--- a/magnoliafork/tests/mesh/test_receiver.py
+++ b/magnoliafork/tests/mesh/test_receiver.py
@@ -721,3 +721,26 @@
             assert len(in_second) <= COLD_PER_S * COLD_RATE_FACTOR + 2
 
     run(test)
+
+
+def test_entry_of_another_writer_changes_nothing_for_the_upstream() -> None:
+    """Its upstream was refused as one of another service, and seemed cold."""
+
+    async def test() -> None:
+        harness = await ReceiverHarness().announced()
+        checks = harness.receiver.health_checks
+        other = dataclasses.replace(
+            OWN,
+            upstream_id="z",
+            service="inventory",
+            slots=1,
+            started_unix_ms=9,
+            cold_left_s=60.0,
+        )
+        harness.published.announce(other)
+        assert harness.receiver.limit == OWN.slots
+        replies = [await harness.call(f"r{n}") for n in range(30)]
+        assert all(isinstance(r, messages.CallAnswer) for r in replies)
+        assert harness.receiver.health_checks == checks
+
+    run(test)
--- a/magnoliafork/tests/mesh/test_upstream_table.py
+++ b/magnoliafork/tests/mesh/test_upstream_table.py
@@ -8,7 +8,7 @@
     REWRITE_WINDOW_S,
     UpstreamTable,
 )
-from magnoliafork.tests.mesh.builders import PublishedState, entry
+from magnoliafork.tests.mesh.builders import PublishedState, config, entry
 
 DRAIN_TIMEOUT_S = 2.0
 OUTAGE_S = 5.0
@@ -211,3 +211,30 @@
     end_outage(table, clock)
     assert table.outage_ended_after_s(clock.now_s - 1.0) == clock.now_s
     assert table.outage_ended_after_s(clock.now_s) is None
+
+
+def test_entry_of_another_writer_does_not_end_the_use_of_an_expired_one() -> (
+    None
+):
+    """Upstreams whose entries expired in an outage got no work after it."""
+    published, table, clock = make()
+    own = entry("a")
+    other = entry("z", host=own.host, service="inventory", started_unix_ms=9)
+    published.configure(config())
+    published.announce(own)
+    end_outage(table, clock)
+    published.withdraw(own)
+    published.announce(other)
+    assert ids(table) == ["a"]
+    assert table.at(own.host, own.port) is own
+
+
+def test_expired_entry_of_another_writer_stands_for_no_address() -> None:
+    """The node beside an upstream took it for one of another service."""
+    published, table, clock = make()
+    other = entry("z", service="inventory")
+    published.configure(config())
+    published.announce(other)
+    end_outage(table, clock)
+    published.withdraw(other)
+    assert table.at(other.host, other.port) is None
--- a/magnoliafork/tests/mesh/test_view.py
+++ b/magnoliafork/tests/mesh/test_view.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from magnoliafork.mesh.view import MeshView, ViewDelta
 from magnoliafork.tests.mesh.builders import (
     FakeItemCodec,
@@ -9,6 +11,7 @@
     config,
     entry,
     removed,
+    service,
 )
 
 
@@ -146,3 +149,65 @@
                 assert peer.apply(reader.delta_after(peer.revision))
             if peer.revision == published.revision:
                 assert peer.upstreams == published.view.upstreams
+
+
+ORDERS = service("orders")
+
+
+@pytest.mark.parametrize("order", ["before", "with", "after"])
+def test_entry_of_a_service_that_is_not_configured_hides_no_upstream(
+    order: str,
+) -> None:
+    """Entries of another writer with a later start hid running upstreams."""
+    published, own = PublishedState(), entry("a", started_unix_ms=5)
+    other = entry("z", host=own.host, service="inventory", started_unix_ms=9000)
+    version = config(1)
+    if order == "before":
+        published.announce(other)
+        published.announce(own)
+        published.configure(version)
+    elif order == "with":
+        codec = published.item_codec
+        items = (
+            codec.item("servers/z", 1, other),
+            codec.item("servers/a", 2, own),
+            codec.item("config", 3, version),
+        )
+        published.view.apply(ViewDelta(0, 3, items))
+    else:
+        published.configure(version)
+        published.announce(own)
+        published.announce(other)
+    assert published.view.upstream_at(own.host, own.port) is own
+    assert list(published.view.unconfigured_upstreams) == ["z"]
+
+
+@pytest.mark.parametrize("is_announced_first", [False, True])
+def test_entry_counts_as_soon_as_its_service_is_configured(
+    is_announced_first: bool,
+) -> None:
+    """An upstream that came before its version would never get a request."""
+    published, old = PublishedState(), entry("a")
+    new = entry("b", host=old.host, service="orders", started_unix_ms=2)
+    published.configure(config(1))
+    published.announce(old)
+    wanted = config(2, services=(service(), ORDERS))
+    if is_announced_first:
+        published.announce(new)
+        assert published.view.upstream_at(old.host, old.port) is old
+        published.configure(wanted)
+    else:
+        published.configure(wanted)
+        published.announce(new)
+    assert published.view.upstream_at(old.host, old.port) is new
+
+
+def test_entry_no_longer_counts_once_its_service_is_removed() -> None:
+    """An entry that is left behind hid the upstream at its address."""
+    published, own = PublishedState(), entry("a")
+    other = entry("b", host=own.host, service="orders", started_unix_ms=2)
+    published.configure(config(1, services=(service(), ORDERS)))
+    published.announce(own)
+    published.announce(other)
+    published.configure(config(2))
+    assert published.view.upstream_at(own.host, own.port) is own
--- a/magnoliafork/tests/platform/test_end_to_end.py
+++ b/magnoliafork/tests/platform/test_end_to_end.py
@@ -362,6 +362,37 @@
     run(test)
 
 
+@pytest.mark.parametrize("is_written_first", [False, True])
+@pytest.mark.parametrize("services", ["y", "xy"])
+def test_entries_of_services_that_are_not_configured_hide_no_server(
+    services: str, is_written_first: bool
+) -> None:
+    """A route that was added was never served; its servers seemed replaced."""
+
+    async def test(fleet: Fleet) -> None:
+        routes = [*ROUTES, ["/new/", "safe", "y"]]
+        if not is_written_first:
+            fleet.store.put("op/config", configuration(2, routes))
+        for host, service, zone in MACHINES:
+            if service in services:
+                other = server_entry(host, "inventory", zone, starts=1000)
+                fleet.store.put(f"servers/inventory-{host}", other)
+        if is_written_first:
+            fleet.store.put("op/config", configuration(2, routes))
+        await fleet.wait_until(
+            lambda: all(
+                node.view.config_version == 2
+                and node.view.revision == fleet.store.revision
+                for node in fleet.nodes.values()
+            )
+        )
+        for host, _, _ in MACHINES:
+            for path in ("/a/", "/new/"):
+                assert (await fleet.request(host, path)).status == 200
+
+    run(test)
+
+
 def test_ticks_go_on_after_an_unforeseen_error() -> None:
     """A node without ticks neither announces nor catches up."""
 
