Treat server entries without a version as another writer's

An entry of another writer that lacks `version`, or has another type there, stood for the upstream at its address like a complete one, and hid it if its start was later.

Every server writes the field. Entries without it are unreadable now, like those that lack any other field. The three new cases failed before and pass; two older cases have the field now, so that they still fail for the value that they are about.

--- a/magnoliafork/platform/items.py
+++ b/magnoliafork/platform/items.py
@@ -131,6 +131,8 @@
 def _upstream(upstream_id: str, entry: dict[str, Any]) -> UpstreamEntry:
     info, status = entry["info"], entry["status"]
     host, port = _address(entry["address"])
+    # Not used, but each upstream writes it: without it, it is another writer's.
+    _string(info["version"], "version")
     state = _string(status["state"], "state")
     if state not in _IS_READY_BY_STATE:
         raise ValueError(f"unknown state {state!r}")
--- a/magnoliafork/tests/platform/test_end_to_end.py
+++ b/magnoliafork/tests/platform/test_end_to_end.py
@@ -42,6 +42,7 @@
 ]
 HOST = MACHINES[0][0]
 ROUTES = [["/a/", "safe", "x"], ["/pay/", "unsafe", "y"]]
+INFO = {"service": "x", "version": "v1", "zone": "joliette", "slots": 4}
 WAIT_TIMEOUT_S = 10.0
 
 
@@ -336,8 +337,8 @@
     "changed",
     [
         {"status": {"state": "ready", "sequence": 1, "cold_left_ms": math.inf}},
-        {"info": {"service": "x", "zone": "joliette", "slots": 2**70}},
-        {"info": {"service": "x", "zone": "\ud800", "slots": 4}},
+        {"info": {**INFO, "slots": 2**70}},
+        {"info": {**INFO, "zone": "\ud800"}},
         {"born": 2**70},
     ],
     ids=["cold", "slots", "zone", "born"],
--- a/magnoliafork/tests/platform/test_items.py
+++ b/magnoliafork/tests/platform/test_items.py
@@ -142,6 +142,12 @@
         {**SERVER, "status": {**SERVER["status"], "state": "odd"}},
         {**SERVER, "status": {**SERVER["status"], "sequence": "4"}},
         {**SERVER, "info": {**SERVER["info"], "slots": "12"}},
+        {**SERVER, "info": {**SERVER["info"], "version": 3}},
+        {**SERVER, "info": {**SERVER["info"], "version": None}},
+        {
+            **SERVER,
+            "info": {k: v for k, v in SERVER["info"].items() if k != "version"},
+        },
         {**SERVER, "address": 7},
         {**SERVER, "address": "nowhere"},
         {**SERVER, "born": 1.5},
