Let the client of the upstream send each request once

Callers waited for a second run there, or got 504, while another upstream could have answered.

Cause: the client sent a repeatable request again by itself when a reused connection ended without an answer, however long the request had run. That was below the receiver, so that no check for a drain, a zone out of service or a stated leave, no limit and no budget applied, and the headers stated the time budget of the first sending.

The client now sends once. A used connection that ends within 10 ms was dropped while it was idle: the receiver admits the request again like a new one, or its outcome is unknown. After any other end the request may have run; its sender decides, within the attempts of the route and the retry budget.

Looked at: drain, zone out, stated leave, removed entry, stopping node, no time left, cold and stated limits (all tested between the sendings), the retry budget (a lost answer takes a token), health checks, new connections, calls between nodes, and the client of proxy/, whose library repeats nothing already.

--- a/magnoliafork/mesh/metrics.py
+++ b/magnoliafork/mesh/metrics.py
@@ -59,6 +59,7 @@
         "calls_total": receiver.calls,
         "calls_sent_total": receiver.sent,
         "calls_broken_total": receiver.broken,
+        "calls_stale_total": receiver.stale,
         "calls_active": node.receiver.active,
         "calls_queued": node.receiver.queued,
         "calls_sent_last_4_seconds": node.receiver.notices.sent_in_window,
--- a/magnoliafork/mesh/receiver.py
+++ b/magnoliafork/mesh/receiver.py
@@ -85,6 +85,7 @@
 MAX_RATE_WAIT_S = 60.0
 _SERVER_ERROR = 500
 _MISDIRECTED = 421
+_STALE = OutcomeUnknown(UnknownReason.CONNECTION_STALE)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -111,6 +112,7 @@
         sent: Requests sent to the upstream.
         refused_by: Refused calls by reason.
         broken: Requests that were sent and got no usable answer.
+        stale: Requests sent on a connection that the upstream had dropped.
     """
 
     calls: int = 0
@@ -119,6 +121,7 @@
         default_factory=collections.Counter
     )
     broken: int = 0
+    stale: int = 0
 
 
 class MeshReceiver:
@@ -400,13 +403,30 @@
         *,
         is_alone: bool = False,
     ) -> Outcome:
-        """Queues a request and runs it.
+        """Queues a request and runs it; once more after a stale connection.
+
+        The upstream may drain, be limited or have no time left by then, so that
+        the request is admitted like a new one.
 
         Args:
             request: The request.
             deadline_s: Time at which its caller gives up.
             is_alone: Whether no other suspect of a crash can run meanwhile.
         """
+        first = await self._admit_once(request, deadline_s, is_alone=is_alone)
+        if first != _STALE:
+            return first
+        second = await self._admit_once(request, deadline_s, is_alone=is_alone)
+        # The first one may have run.
+        return first if isinstance(second, NotRun) else second
+
+    async def _admit_once(
+        self,
+        request: messages.CallRequest,
+        deadline_s: float,
+        *,
+        is_alone: bool,
+    ) -> Outcome:
         now_s = self._clock()
         unavailable = self._unavailable_reason(request.service_name)
         if unavailable is not None:
@@ -533,6 +553,14 @@
             return Answered(result.status, result.headers, result.body)
         if isinstance(result, UpstreamNotRun):
             return self._not_run(request, result)
+        if result.is_stale and request.repeatable:
+            self.counters.stale += 1
+            self._log.info(
+                Event.CONNECTION_STALE,
+                request_id=request.request_id,
+                detail=result.detail,
+            )
+            return _STALE
         self._record_result(True)
         self.counters.broken += 1
         self._log.warning(
--- a/magnoliafork/mesh/upstream.py
+++ b/magnoliafork/mesh/upstream.py
@@ -31,6 +31,9 @@
 # may or may not have run. A request that must not be repeated therefore reuses
 # only a connection that was in use very recently.
 UNREPEATABLE_IDLE_LIMIT_S = 0.5
+# The first request on a connection that the upstream has dropped ends within
+# about 1 ms, unread. One that ends later may have run.
+STALE_END_S = 0.01
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,7 +46,7 @@
         headers: Headers to send.
         body: Whole body.
         attempt_id: Id that the answer has to echo.
-        is_repeatable: Whether it may be sent twice.
+        is_repeatable: Whether it may run more than once.
     """
 
     method: str
@@ -96,11 +99,14 @@
         detail: Cause for logs.
         is_connection_lost: Whether the connection ended without an answer.
         has_crashed: Whether the upstream accepts no connection any more.
+        is_stale: Whether the connection was in use before and ended at once:
+            the upstream has most likely dropped it and not read the request.
     """
 
     detail: str
     is_connection_lost: bool
     has_crashed: bool = False
+    is_stale: bool = False
 
 
 UpstreamResult = UpstreamAnswered | UpstreamNotRun | UpstreamUnknown
@@ -166,7 +172,7 @@
             connection.close()
 
     async def send(self, call: UpstreamCall) -> UpstreamResult:
-        """Sends a request and returns its result.
+        """Sends a request once and returns its result.
 
         Cancelling closes the connection, which stops the request at the
         upstream.
@@ -174,25 +180,22 @@
         max_idle_s = IDLE_LIMIT_S
         if not call.is_repeatable:
             max_idle_s = UNREPEATABLE_IDLE_LIMIT_S
-        reused = self._take_idle(max_idle_s)
-        if reused is not None:
-            result = await self._exchange(reused, call)
-            is_stale = (
-                isinstance(result, HttpFailure) and not result.has_answer_begun
-            )
-            if not is_stale or not call.is_repeatable:
-                return await self._classify_checked(call, result)
-        connection = await self._connect()
+        connection = self._take_idle(max_idle_s) or await self._connect()
         if isinstance(connection, _ConnectFailure):
-            if reused is None:
-                return UpstreamNotRun(connection.detail, was_sent=False)
-            # The request was sent on the connection that was lost.
-            return UpstreamUnknown(
-                connection.detail, True, has_crashed=connection.is_refused
-            )
-        return await self._classify_checked(
-            call, await self._exchange(connection, call)
-        )
+            return UpstreamNotRun(connection.detail, was_sent=False)
+        was_used, sent_s = connection.exchange_count > 0, self._clock()
+        result = await self._exchange(connection, call)
+        has_ended_at_once = self._clock() - sent_s < STALE_END_S
+        classified = await self._classify_checked(call, result)
+        if (
+            isinstance(classified, UpstreamUnknown)
+            and isinstance(result, HttpFailure)
+            and not result.has_answer_begun
+            and not classified.has_crashed
+        ):
+            is_stale = was_used and has_ended_at_once
+            return dataclasses.replace(classified, is_stale=is_stale)
+        return classified
 
     async def _classify_checked(
         self, call: UpstreamCall, result: HttpAnswer | HttpFailure
--- a/magnoliafork/model/request.py
+++ b/magnoliafork/model/request.py
@@ -38,6 +38,7 @@
     NO_REPLY = "no_reply"
     RECEIVER_RESTARTED = "receiver_restarted"
     UPSTREAM_BROKE = "upstream_broke"
+    CONNECTION_STALE = "connection_stale"
     UPSTREAM_CRASHED = "upstream_crashed"
     UPSTREAM_TIMEOUT = "upstream_timeout"
     HOME_CHANGED = "home_changed"
--- a/magnoliafork/observe/events.py
+++ b/magnoliafork/observe/events.py
@@ -60,6 +60,7 @@
     SUSPECT_CLEARED = "suspect_cleared"
     CALL_REFUSED = "call_refused"
     CALL_BROKEN = "call_broken"
+    CONNECTION_STALE = "connection_stale"
     SETTINGS_RELOADED = "settings_reloaded"
     LIBRARY_MESSAGE = "library_message"
     INTERNAL_ERROR = "internal_error"
--- a/magnoliafork/tests/platform/test_end_to_end.py
+++ b/magnoliafork/tests/platform/test_end_to_end.py
@@ -363,6 +363,25 @@
     run(test)
 
 
+def test_draining_server_that_loses_an_answer_gets_no_request_again() -> None:
+    """A request was sent once more to a server that was about to be gone."""
+
+    async def test(fleet: Fleet) -> None:
+        host, service, zone = MACHINES[0]
+        server = fleet.servers[host]
+        await fleet.request(host, "/a/")
+        running = asyncio.create_task(fleet.request(host, "/a/?work_ms=300"))
+        await fleet.wait_until(lambda: server.runs["attempt-2"])
+        drained = server_entry(host, service, zone, "draining", sequence=2)
+        fleet.store.put(f"servers/i-{host}", drained)
+        server.loses_answers = True
+        assert (await running).status == 200
+        assert server.runs["attempt-2"] == 1
+        assert fleet.servers["127.0.7.3"].runs["attempt-2"] == 1
+
+    run(test)
+
+
 @pytest.mark.parametrize("is_written_first", [False, True])
 @pytest.mark.parametrize("services", ["y", "xy"])
 def test_entries_of_services_that_are_not_configured_hide_no_server(
