Take a token for each request that is sent again after a stale connection

Each second admission takes a token of the receiver now. Receivers have a tenth of the fleet's retry budget, senders half, and the rest is left for the calls of repeated runs. Without a token the outcome is unknown, and the sender decides.

The budget of a share is built in one place, mesh/retry_limits.py. The new test counts 300 second sendings of 300 requests without the token.

--- a/magnoliafork/mesh/node.py
+++ b/magnoliafork/mesh/node.py
@@ -24,7 +24,8 @@
 from magnoliafork.mesh.published_store import PublishedStore
 from magnoliafork.mesh.quota_client import QuotaClient
 from magnoliafork.mesh.receiver import MeshReceiver
-from magnoliafork.mesh.sender import MeshSender, RetryLimits, TenantAccess
+from magnoliafork.mesh.retry_limits import RetryLimits
+from magnoliafork.mesh.sender import MeshSender, TenantAccess
 from magnoliafork.mesh.settings import MeshSettings, split_address
 from magnoliafork.mesh.store_reader import StoreReader
 from magnoliafork.mesh.tenant_keys import KeyPolicy, TenantKeys
@@ -227,6 +228,12 @@
         self.quotas = QuotaClient(
             host, self.view, self.freshness, self.pool, quota_policy
         )
+        bounds = settings.bounds
+        retry_limits = RetryLimits(
+            bounds.retry_budget_ratio,
+            bounds.retry_budget_slack,
+            bounds.retry_budget_window_s,
+        )
         upstream_address = split_address(settings.addresses.upstream)
         self.client = UpstreamClient(*upstream_address, header_codec, clock)
         self.receiver = MeshReceiver(
@@ -236,7 +243,8 @@
             self.table,
             self.client,
             header_codec,
-            settings.bounds.cold_rate_factor,
+            bounds.cold_rate_factor,
+            retry_limits,
             self.suspects,
             self.keys,
             rng,
@@ -244,17 +252,12 @@
             log,
         )
         self.client.on_disconnected = self.receiver.on_disconnected
-        bounds = settings.bounds
         self.sender = MeshSender(
             settings.node.zone,
             self.view,
             self.table,
             self.pool,
-            RetryLimits(
-                bounds.retry_budget_ratio,
-                bounds.retry_budget_slack,
-                bounds.retry_budget_window_s,
-            ),
+            retry_limits,
             self.suspects,
             TenantAccess(self.keys, self.quotas, header_codec.with_tenant),
             rng,
--- a/magnoliafork/mesh/receiver.py
+++ b/magnoliafork/mesh/receiver.py
@@ -16,6 +16,7 @@
 )
 from magnoliafork.admission.short_call_reserve import ShortCallReserve
 from magnoliafork.admission.tenant_shares import TenantShares
+from magnoliafork.balance.retry import RetryBudget
 from magnoliafork.mesh.cold_rate_limiter import ColdRateLimiter
 from magnoliafork.mesh.cold_state_monitor import ColdStateMonitor
 from magnoliafork.mesh.crash_suspects import (
@@ -27,6 +28,7 @@
 from magnoliafork.mesh.model import MeshService, UpstreamEntry
 from magnoliafork.mesh.notice_monitor import NoticeMonitor
 from magnoliafork.mesh.recent_requests import RecentRequests
+from magnoliafork.mesh.retry_limits import RetryLimits
 from magnoliafork.mesh.stated_rate_limiter import from_milli, to_milli
 from magnoliafork.mesh.suspect_lane import MAX_WAIT_SHARE, SuspectLane
 from magnoliafork.mesh.tenant_keys import TenantKeys
@@ -81,6 +83,9 @@
 TRANSIENT_FAILURE_RETRY_MS = 300
 EXPIRED_RETRY_MS = 300
 GAVE_WAY_RETRY_MS = 500
+# Share of the fleet's retry budget for requests that are sent again after a
+# stale connection, since the upstream may have got them.
+RESEND_BUDGET_SHARE = 0.1
 # Longest wait for a rate limit that is told to senders.
 MAX_RATE_WAIT_S = 60.0
 _SERVER_ERROR = 500
@@ -136,6 +141,7 @@
         client: Upstream,
         header_codec: HeaderCodec,
         cold_rate_factor: float,
+        limits: RetryLimits,
         suspects: CrashSuspects,
         keys: TenantKeys,
         rng: random.Random,
@@ -146,9 +152,10 @@
 
         `incarnation` identifies this process; fences of calls that went to an
         earlier process are not answered from this ledger. A cold upstream
-        gets at most its service's rate times `cold_rate_factor`. `suspects` are
-        the requests that may crash the upstream. `keys` tells whether the key
-        of a request still counts.
+        gets at most its service's rate times `cold_rate_factor`. `limits` are
+        those of the extra attempts of the fleet. `suspects` are the requests
+        that may crash the upstream. `keys` tells whether the key of a request
+        still counts.
         """
         self._address = address
         self._incarnation = incarnation
@@ -165,6 +172,8 @@
         self._log = log
         self._cold_limiter = ColdRateLimiter(cold_rate_factor)
         self._cold_rate_factor = cold_rate_factor
+        self._limits = limits
+        self._resend_budget: RetryBudget | None = None
         self._queue: WorkQueue[_QueuedRequest] = WorkQueue()
         self._work_times = WorkTimes()
         self._request_mix = RequestMix()
@@ -413,13 +422,25 @@
             deadline_s: Time at which its caller gives up.
             is_alone: Whether no other suspect of a crash can run meanwhile.
         """
+        if self._resend_budget is not None:
+            self._resend_budget.add_request()
         first = await self._admit_once(request, deadline_s, is_alone=is_alone)
-        if first != _STALE:
+        if first != _STALE or not self._take_resend_token():
             return first
         second = await self._admit_once(request, deadline_s, is_alone=is_alone)
         # The first one may have run.
         return first if isinstance(second, NotRun) else second
 
+    def _take_resend_token(self) -> bool:
+        now_s = self._clock()
+        if self._resend_budget is None:
+            entry = self._entry()
+            upstreams = self._table.of_service(entry.service) if entry else ()
+            self._resend_budget = self._limits.budget(
+                now_s, RESEND_BUDGET_SHARE, len(upstreams)
+            )
+        return self._resend_budget.take(now_s)
+
     async def _admit_once(
         self,
         request: messages.CallRequest,
--- a/magnoliafork/mesh/sender.py
+++ b/magnoliafork/mesh/sender.py
@@ -23,6 +23,7 @@
     UpstreamEntry,
 )
 from magnoliafork.mesh.request_age import RequestAgeEstimator
+from magnoliafork.mesh.retry_limits import RetryLimits
 from magnoliafork.mesh.routes import RouteIndex, WeightedSplit
 from magnoliafork.mesh.tenant_keys import Identified, TenantKeys
 from magnoliafork.mesh.upstream_selector import RequestProfile, UpstreamSelector
@@ -62,7 +63,7 @@
 NO_INSTANCE_RETRY_MS = 400
 # Share of the fleet's retry budget that the senders use for extra attempts.
 # An upstream that runs a repeated request may call other services; the retries
-# of those calls count as well, so half of the budget is left for them.
+# of those calls count as well, so that most of the rest is left for them.
 BUDGET_SHARE = 0.5
 _SERVER_ERROR = 500
 # Refusals by the upstream itself, which the request has reached.
@@ -98,21 +99,6 @@
     api_key: str | None = dataclasses.field(default=None, repr=False)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RetryLimits:
-    """Limits on the extra attempts of the fleet: retries and hedges.
-
-    Attributes:
-        ratio: Extra attempts for each request.
-        slack: Extra attempts of the fleet in a window, in addition.
-        window_s: Length of that window.
-    """
-
-    ratio: float
-    slack: float
-    window_s: float
-
-
 @dataclasses.dataclass(slots=True)
 class SenderCounters:
     """Counts since the start.
@@ -597,17 +583,10 @@
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            limits = self._limits
             entries = self._view.upstreams.values()
             # Several entries may name one machine.
-            nodes = max(1, len({entry.host for entry in entries}))
-            per_s = limits.slack * BUDGET_SHARE / limits.window_s / nodes
-            budget = RetryBudget(
-                self._clock(),
-                ratio=limits.ratio * BUDGET_SHARE,
-                per_s=per_s,
-                cap=max(1.0, per_s * limits.window_s / 2),
-            )
+            nodes = len({entry.host for entry in entries})
+            budget = self._limits.budget(self._clock(), BUDGET_SHARE, nodes)
             self._budgets[service] = budget
         return budget
 
--- a/magnoliafork/tests/mesh/builders.py
+++ b/magnoliafork/tests/mesh/builders.py
@@ -14,12 +14,15 @@
     WeightedService,
     ZoneOut,
 )
+from magnoliafork.mesh.retry_limits import RetryLimits
 from magnoliafork.mesh.sender import Quotas, TenantAccess
 from magnoliafork.mesh.tenant_keys import KeyPolicy, TenantKeys
 from magnoliafork.mesh.view import MeshView, ViewDelta
 from magnoliafork.model.request import NotRun
 from magnoliafork.platform.header_codec import PlatformHeaderCodec
 
+RETRY_LIMITS = RetryLimits(0.2, 60.0, 10.0)
+
 
 class FakeItemCodec:
     """Makes items and decodes them without the wire format."""
--- a/magnoliafork/tests/mesh/crash_fleet.py
+++ b/magnoliafork/tests/mesh/crash_fleet.py
@@ -13,7 +13,7 @@
 from magnoliafork.mesh.crash_suspects import CrashSuspects
 from magnoliafork.mesh.header_codec import HealthHeaders
 from magnoliafork.mesh.receiver import MeshReceiver
-from magnoliafork.mesh.sender import MeshRequest, MeshSender, RetryLimits
+from magnoliafork.mesh.sender import MeshRequest, MeshSender
 from magnoliafork.mesh.upstream import (
     UpstreamAnswered,
     UpstreamCall,
@@ -26,6 +26,7 @@
 from magnoliafork.observe.logs import EventLog
 from magnoliafork.platform.header_codec import PlatformHeaderCodec
 from magnoliafork.tests.mesh.builders import (
+    RETRY_LIMITS,
     PublishedState,
     config,
     entry,
@@ -176,6 +177,7 @@
             self.upstream,
             PlatformHeaderCodec(),
             1.5,
+            RETRY_LIMITS,
             self.suspects,
             tenant_access().keys,
             random.Random(1),
@@ -187,7 +189,7 @@
             view,
             table,
             _Peers(fleet),
-            RetryLimits(0.2, 60.0, 10.0),
+            RETRY_LIMITS,
             self.suspects,
             tenant_access(),
             random.Random(seed),
--- a/magnoliafork/tests/mesh/receiver_harness.py
+++ b/magnoliafork/tests/mesh/receiver_harness.py
@@ -19,6 +19,7 @@
 from magnoliafork.platform.header_codec import PlatformHeaderCodec
 from magnoliafork.tests import virtual_time
 from magnoliafork.tests.mesh.builders import (
+    RETRY_LIMITS,
     PublishedState,
     config,
     entry,
@@ -88,6 +89,7 @@
             self.upstream,
             PlatformHeaderCodec(),
             COLD_RATE_FACTOR,
+            RETRY_LIMITS,
             self.suspects,
             tenant_access().keys,
             random.Random(1),
--- a/magnoliafork/tests/mesh/test_receiver.py
+++ b/magnoliafork/tests/mesh/test_receiver.py
@@ -21,6 +21,7 @@
 from magnoliafork.observe.logs import EventLog
 from magnoliafork.platform.header_codec import PlatformHeaderCodec
 from magnoliafork.tests.mesh.builders import (
+    RETRY_LIMITS,
     PublishedState,
     entry,
     tenant_access,
@@ -632,6 +633,7 @@
             upstream,
             PlatformHeaderCodec(),
             COLD_RATE_FACTOR,
+            RETRY_LIMITS,
             CrashSuspects(loop.time, log),
             tenant_access().keys,
             random.Random(1),
--- a/magnoliafork/tests/mesh/test_receiver_resend.py
+++ b/magnoliafork/tests/mesh/test_receiver_resend.py
@@ -13,6 +13,7 @@
     UpstreamUnknown,
 )
 from magnoliafork.platform import names
+from magnoliafork.tests.mesh.builders import RETRY_LIMITS
 from magnoliafork.tests.mesh.receiver_harness import (
     COLD_PER_S,
     COLD_RATE_FACTOR,
@@ -162,3 +163,25 @@
         assert busiest <= allowed
 
     run(test)
+
+
+def test_requests_sent_again_stay_within_their_share_of_the_retry_budget() -> (
+    None
+):
+    """An upstream that lost answers at once got each request twice."""
+
+    async def test() -> None:
+        harness, upstream = await announced()
+        requests, begun_s = 300, asyncio.get_running_loop().time()
+        for number in range(requests):
+            await harness.call(f"r{number}", path=f"/{number}")
+            await asyncio.sleep(0.01)
+        lasted_s = asyncio.get_running_loop().time() - begun_s
+        limits = RETRY_LIMITS
+        allowed = limits.ratio * requests
+        allowed += limits.slack * lasted_s / limits.window_s
+        assert len(upstream.arrivals) - requests > 1
+        # A token may have been saved before.
+        assert len(upstream.arrivals) - requests <= 1 + allowed * 0.1
+
+    run(test)
--- a/magnoliafork/tests/mesh/test_sender.py
+++ b/magnoliafork/tests/mesh/test_sender.py
@@ -12,10 +12,10 @@
 from magnoliafork.mesh.crash_suspects import CrashSuspects
 from magnoliafork.mesh.model import Tenant, WeightedService
 from magnoliafork.mesh.request_age import AGE_WINDOW_S
+from magnoliafork.mesh.retry_limits import RetryLimits
 from magnoliafork.mesh.sender import (
     MeshRequest,
     MeshSender,
-    RetryLimits,
     TenantAccess,
 )
 from magnoliafork.mesh.upstream_table import (
@@ -33,6 +33,7 @@
 from magnoliafork.observe.logs import EventLog
 from magnoliafork.tests import virtual_time
 from magnoliafork.tests.mesh.builders import (
+    RETRY_LIMITS,
     PublishedState,
     config,
     entry,
@@ -45,7 +46,6 @@
 Reply = messages.CallReply | LinkFailure
 Script = Callable[[str, messages.CallRequest], Awaitable[Reply]]
 
-RETRY_LIMITS = RetryLimits(0.2, 60.0, 10.0)
 # Limits that allow as many retries as there are upstreams.
 AMPLE_RETRY_LIMITS = RetryLimits(0.2, 6000.0, 10.0)
 
