Do not reuse connections idle as long as one the upstream has dropped

When an upstream forgets idle connections, each of them cost a request a second sending, or an unknown outcome once second sendings take a token. After one such connection, others that were idle for more than half as long are closed instead of used, for 10 s. Connections that were idle for less than 0.1 s stay in use.

In the new test, without the change, requests beside the first one meet dropped connections too.

--- a/magnoliafork/mesh/upstream.py
+++ b/magnoliafork/mesh/upstream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 from collections.abc import Callable
 from typing import Protocol
 
@@ -34,6 +35,11 @@
 # The first request on a connection that the upstream has dropped ends within
 # about 1 ms, unread. One that ends later may have run.
 STALE_END_S = 0.01
+# After that, connections are reused only if they were idle for less than this
+# share of the idle time of the dropped one, for a while.
+STALE_IDLE_SHARE = 0.5
+MIN_IDLE_LIMIT_S = 0.1
+STALE_IDLE_LIMIT_HOLD_S = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -161,6 +167,9 @@
         self._clock = clock
         self._idle: list[HttpConnection] = []
         self._open: set[HttpConnection] = set()
+        # Bound on the idle time of reused connections, and until when it holds.
+        self._stale_limit_s = math.inf
+        self._stale_limit_until_s = -math.inf
         self._turns: ParseTurns | None = None
         self._large_answers = asyncio.Semaphore(MAX_LARGE_ANSWERS)
         self.connections_opened = 0
@@ -184,6 +193,7 @@
         if isinstance(connection, _ConnectFailure):
             return UpstreamNotRun(connection.detail, was_sent=False)
         was_used, sent_s = connection.exchange_count > 0, self._clock()
+        idle_s = sent_s - connection.idle_since_s
         result = await self._exchange(connection, call)
         has_ended_at_once = self._clock() - sent_s < STALE_END_S
         classified = await self._classify_checked(call, result)
@@ -194,9 +204,27 @@
             and not classified.has_crashed
         ):
             is_stale = was_used and has_ended_at_once
+            if is_stale:
+                self._limit_idle_time(idle_s)
             return dataclasses.replace(classified, is_stale=is_stale)
         return classified
 
+    def _limit_idle_time(self, dropped_after_s: float) -> None:
+        """Stops reusing connections that have most likely been dropped too."""
+        now_s = self._clock()
+        self._stale_limit_s = max(
+            MIN_IDLE_LIMIT_S,
+            min(
+                self._stale_idle_limit_s(now_s),
+                dropped_after_s * STALE_IDLE_SHARE,
+            ),
+        )
+        self._stale_limit_until_s = now_s + STALE_IDLE_LIMIT_HOLD_S
+
+    def _stale_idle_limit_s(self, now_s: float) -> float:
+        is_held = now_s < self._stale_limit_until_s
+        return self._stale_limit_s if is_held else math.inf
+
     async def _classify_checked(
         self, call: UpstreamCall, result: HttpAnswer | HttpFailure
     ) -> UpstreamResult:
@@ -244,6 +272,7 @@
             limit_s = IDLE_LIMIT_S
             if connection.idle_limit_s is not None:
                 limit_s = connection.idle_limit_s - IDLE_MARGIN_S
+            limit_s = min(limit_s, self._stale_idle_limit_s(now_s))
             idle_s = now_s - connection.idle_since_s
             if connection.is_open and idle_s < min(limit_s, max_idle_s):
                 return self._idle.pop()
--- a/magnoliafork/tests/mesh/test_upstream.py
+++ b/magnoliafork/tests/mesh/test_upstream.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from magnoliafork.mesh import upstream as upstream_module
 from magnoliafork.mesh.header_codec import HealthHeaders, UpstreamNotice
 from magnoliafork.mesh.upstream import (
     UpstreamAnswered,
@@ -151,3 +152,58 @@
     assert isinstance(result, UpstreamUnknown)
     assert result.is_connection_lost
     assert not result.has_crashed
+
+
+def test_connections_that_were_idle_as_long_as_a_dropped_one_are_not_reused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each of the connections that an upstream forgot cost a request."""
+    monkeypatch.setattr(upstream_module, "MIN_IDLE_LIMIT_S", 0.0)
+    first_connections = 4
+    answer = (
+        f"HTTP/1.1 200 OK\r\n{names.SEAL}: s\r\nContent-Length: 0\r\n"
+        f"{names.ATTEMPT_ID}: id1\r\n\r\n"
+    ).encode()
+
+    async def test() -> list[UpstreamResult]:
+        opened = 0
+        has_forgotten = False
+
+        async def respond(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal opened
+            opened += 1
+            is_first = opened <= first_connections
+            try:
+                while await reader.readuntil(b"\r\n\r\n"):
+                    if is_first and has_forgotten:
+                        break
+                    writer.write(answer)
+            except asyncio.IncompleteReadError:
+                pass
+            writer.transport.abort()
+
+        server = await asyncio.start_server(respond, HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        loop = asyncio.get_running_loop()
+        client = UpstreamClient(HOST, port, PlatformHeaderCodec(), loop.time)
+        call = _call(1, is_repeatable=True)
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                sends = [client.send(call) for _ in range(first_connections)]
+                await asyncio.gather(*sends)
+                await asyncio.sleep(0.02)
+                has_forgotten = True
+                dropped = await client.send(call)
+                sends = [client.send(call) for _ in range(first_connections)]
+                return [dropped, *await asyncio.gather(*sends)]
+        finally:
+            await client.close()
+            server.close()
+            await asyncio.sleep(0.01)
+
+    dropped, *later = asyncio.run(test())
+    assert isinstance(dropped, UpstreamUnknown)
+    assert dropped.is_stale
+    assert all(isinstance(result, UpstreamAnswered) for result in later)
