--- a/review/fleet_3.py
+++ b/review/fleet_3.py
@@ -47,8 +47,8 @@
 class Record:
     """Writes what was sent, answered and run to `record.txt`."""
 
-    def __init__(self, script: str) -> None:
-        self._file = (pathlib.Path(script).parent / "record.txt").open("w")
+    def __init__(self, path: str) -> None:
+        self._file = pathlib.Path(path).open("w")
         self._loop = asyncio.get_running_loop()
         self._begun_s = self._loop.time()
 
@@ -577,11 +577,14 @@
         self._folder.cleanup()
 
 
-def run(case: Callable[[Record], Awaitable[bool]], script: str) -> None:
-    """Runs a case; exits with 1 if the rule was broken, 2 if it cannot run."""
+def run(case: Callable[[Record], Awaitable[bool]]) -> None:
+    """Runs a case; exits with 1 if the rule was broken, 2 if it cannot run.
+
+    The first argument of the script is the path of its record.
+    """
 
     async def main() -> int:
-        record = Record(script)
+        record = Record(sys.argv[1])
         record(f"TROUBLE={int(is_troubled())}")
         try:
             async with asyncio.timeout(110):
