Tell whether a node is connected to one that reads the store

A node that missed a configuration logged nothing that told why: its peers may have been silent, or alive and cut off themselves. An announcement says only that its sender runs.

Readers of the store number their heartbeats, and announcements carry the one that the sender heard last, in 22 bytes. A number counts once, when it is first heard, so that nodes which are cut off together do not take each other for connected. New events readers_silent and readers_heard, metric reader_heartbeat_age_seconds. No decision depends on them yet. Peers of an earlier release count as connected, as before.

--- a/magnoliafork/mesh/metrics.py
+++ b/magnoliafork/mesh/metrics.py
@@ -33,6 +33,7 @@
         "store_received_bytes_total": reads.received_bytes,
         "longest_store_read_seconds": reads.longest_s,
         "is_reader": int(node.view_sync.is_reader),
+        "reader_heartbeat_age_seconds": node.view_sync.heartbeats.silent_s,
         "view_lag_seconds": node.view_sync.lag_s,
         "view_requests_total": updates.requests,
         "view_requests_repeated_total": updates.repeated_requests,
--- a/magnoliafork/mesh/view_sync.py
+++ b/magnoliafork/mesh/view_sync.py
@@ -7,6 +7,7 @@
 
 from magnoliafork.mesh import reader_selection
 from magnoliafork.mesh.model import StorePosition
+from magnoliafork.mesh.reader_heartbeats import ReaderHeartbeats
 from magnoliafork.mesh.reply_parts import PartialReply, split_reply
 from magnoliafork.mesh.upstream_table import UpstreamTable
 from magnoliafork.mesh.view import Change, MeshView
@@ -47,6 +48,8 @@
 # Pause between nodes of a zone that take over reading because their views get
 # too old: if the store is away, not all of them read at once.
 TAKEOVER_STEP_S = 0.2
+# Two lost announcements, or late ones, are no silence of the readers.
+HEARTBEAT_TIMEOUT_S = 2.0
 # Time after which a request for missing changes is repeated at another peer.
 # A reply of the whole state takes most of it on the slowest links, of 5 Mbit/s.
 REQUEST_TIMEOUT_S = 0.4
@@ -129,6 +132,7 @@
         reads_slowly: Whether its reads take so long that others should read.
         encoder: Encodes the replies to peers.
         counters: Counts of the messages about changes.
+        heartbeats: Heartbeats of the nodes that read the store.
         applied_lag_s: Time from the announcement of the changes that were
             applied last until then.
     """
@@ -177,6 +181,8 @@
         self.reads_slowly = False
         self.encoder = ViewEncoder(view)
         self.counters = ViewSyncCounters()
+        self.heartbeats = ReaderHeartbeats(freshness.clock_id, clock)
+        self._silent_since_s: float | None = None
         self.applied_lag_s = 0.0
         view.subscribe(self._on_changes)
 
@@ -341,11 +347,35 @@
                 view_revision=self._view.revision,
             )
         now_s = self._clock()
+        self._log_silence(now_s)
         self._links.set_targets(self._link_targets(now_s))
         if now_s - self._announced_at_s >= ANNOUNCE_INTERVAL_S:
             self.announce()
         self._catch_up(now_s)
 
+    @property
+    def hears_no_reader(self) -> bool:
+        """Whether no node that reads the store is known to be connected."""
+        return self.heartbeats.silent_s > HEARTBEAT_TIMEOUT_S
+
+    def _log_silence(self, now_s: float) -> None:
+        """Logs when the heartbeats of readers end and begin again."""
+        if self.hears_no_reader and self._silent_since_s is None:
+            self._silent_since_s = now_s - self.heartbeats.silent_s
+            self._log.warning(
+                Event.READERS_SILENT,
+                neighbours=len(self._links.neighbours()),
+                view_revision=self._view.revision,
+            )
+        elif not self.hears_no_reader and self._silent_since_s is not None:
+            took_s = now_s - self._silent_since_s
+            self._silent_since_s = None
+            self._log.info(
+                Event.READERS_HEARD,
+                took_ms=int(took_s * 1000),
+                view_revision=self._view.revision,
+            )
+
     def _link_targets(self, now_s: float) -> tuple[str, ...]:
         targets = reader_selection.link_targets(
             self._fleet, self.has_store_access
@@ -452,6 +482,8 @@
         return is_first
 
     def _announcement(self, now_s: float) -> messages.ViewAnnounce:
+        if self.is_reader:
+            self.heartbeats.beat()
         age_s = now_s - self.last_store_answer_s
         age_ms = int(min(age_s * 1000, NO_STORE_ACCESS_MS))
         if not self.is_reader or self.reads_slowly:
@@ -464,6 +496,7 @@
         era_age_ms = 0
         if restored_ago_s is not None:
             era_age_ms = max(1, int(restored_ago_s * 1000))
+        heartbeat = self.heartbeats.newest()
         return messages.ViewAnnounce(
             self._view.revision,
             age_ms,
@@ -474,6 +507,9 @@
             era_age_ms,
             self._view.config_version,
             accepts_crash_reports=True,
+            heartbeat_id=heartbeat.process_id,
+            heartbeat_number=heartbeat.number,
+            relays_heartbeats=True,
         )
 
     def _known_fleet(self) -> reader_selection.Fleet:
@@ -524,6 +560,12 @@
                     self._table.record_restore(
                         message.era, message.era_age_ms / 1000
                     )
+                if message.relays_heartbeats:
+                    self.heartbeats.hear(
+                        message.heartbeat_id, message.heartbeat_number
+                    )
+                else:
+                    self.heartbeats.hear_unnumbered()
                 self._record_view_age(message, now_s)
                 self._record_announced(peer, now_s)
                 if self._record_proof(peer, message):
--- a/magnoliafork/observe/events.py
+++ b/magnoliafork/observe/events.py
@@ -46,6 +46,8 @@
     STORE_READ_IGNORED = "store_read_ignored"
     STORE_READ_SLOW = "store_read_slow"
     READING_CHANGED = "reading_changed"
+    READERS_SILENT = "readers_silent"
+    READERS_HEARD = "readers_heard"
     STORE_CATCH_UP_BEGUN = "store_catch_up_begun"
     STORE_CATCH_UP_ENDED = "store_catch_up_ended"
     VIEW_TOO_LARGE = "view_too_large"
--- a/magnoliafork/wire/messages.py
+++ b/magnoliafork/wire/messages.py
@@ -303,6 +303,10 @@
             0 if it has no proof.
         clock_id: Names the process of the sender, and so its clock.
         echoed_id: Names the process whose clock is echoed.
+        heartbeat_id: Names the process that reads the store whose heartbeat the
+            sender has heard last; 0 if it has heard none for a while.
+        heartbeat_number: Number of that heartbeat.
+        relays_heartbeats: Whether the sender knows heartbeats.
     """
 
     revision: int
@@ -320,6 +324,9 @@
     proved_at_ms: int = 0
     clock_id: int = 0
     echoed_id: int = 0
+    heartbeat_id: int = 0
+    heartbeat_number: int = 0
+    relays_heartbeats: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/magnoliafork/wire/peer.thrift
+++ b/magnoliafork/wire/peer.thrift
@@ -179,6 +179,9 @@
     13: i64 proved_at_ms
     14: i64 clock_id
     15: i64 echoed_id
+    16: i64 heartbeat_id
+    17: i32 heartbeat_number
+    18: bool relays_heartbeats
 }
 
 struct CrashReport {
