Show that the loss of all sources keeps an older configuration

Single nodes kept an older configuration for 3.2 to 5 s, where 2.5 s are allowed, after all nodes from which they get changes had lost power or were cut off at once.

Control links there are those of the product over connections that break as TCP does: a machine without power says nothing, and connecting to it hangs. python -m magnoliafork.tests.mesh.change_history plays random histories.

--- a/magnoliafork/tests/mesh/store_fleet.py
+++ b/magnoliafork/tests/mesh/store_fleet.py
@@ -56,6 +56,8 @@
     """A store that refuses the nodes that a test names.
 
     Attributes:
+        refused: Hosts that are refused.
+        silent: Hosts that get no answer.
         sequences: Number of writes by upstream.
     """
 
@@ -63,6 +65,7 @@
         self.published = PublishedState()
         self.deltas: list[ViewDelta] = []
         self.refused: set[str] = set()
+        self.silent: set[str] = set()
         self.era = 1
         self.sequences: collections.Counter[str] = collections.Counter()
         self.call_count = 0
@@ -182,6 +185,8 @@
         end_s = asyncio.get_running_loop().time() + wait_s
         cut_count = fleet.cut_count
         while self._host not in fleet.store.refused:
+            if self._host in fleet.store.silent:
+                await asyncio.sleep(math.inf)
             if after_revision > fleet.store.published.revision:
                 return HistoryGone(fleet.store.era)
             delta = fleet.store.after(after_revision)
