Let a node that hears of no reader check the store

Callers got 404 for a route that had been added more than 2.5 s before, at single nodes whose sources had all lost power or been cut off at once.

Cause: a node took the silence of its peers for calm. It gets changes from three of them, noticed their loss after 2.6 s and read the store 1.2 s later. Peers that were cut off together with it even counted as a source.

A node that has heard no new heartbeat of a reader for 1.2 s reads the store now. Its answer counts as a heartbeat for the nodes that it still reaches, so that they need not read. Announcements are sent every 0.5 s instead of every second. Readers that run and get no answers count as heard: while the store is away, no other node calls it.

--- a/magnoliafork/mesh/metrics.py
+++ b/magnoliafork/mesh/metrics.py
@@ -29,6 +29,7 @@
         "upstreams_unconfigured": len(node.view.unconfigured_upstreams),
         "store_reads_total": reads.reads,
         "store_catch_up_reads_total": reads.catch_up_reads,
+        "store_check_reads_total": reads.check_reads,
         "store_reads_failed_total": reads.failed,
         "store_received_bytes_total": reads.received_bytes,
         "longest_store_read_seconds": reads.longest_s,
--- a/magnoliafork/mesh/store_reader.py
+++ b/magnoliafork/mesh/store_reader.py
@@ -39,6 +39,11 @@
 # Shortest pause between two reads of a node that lags and is no reader. It
 # leaves the link to the answers of peers, which take far less of it.
 CATCH_UP_PAUSE_S = 0.5
+# Nodes that stop hearing of readers together check the store one after the
+# other within this time; an answer to one of them is a sign for the others.
+CHECK_SPREAD_S = 0.2
+# After an answer as recent as that, few changes can be missing.
+RECENT_ANSWER_S = 3.0
 # Time that a read may take beyond its wait before other nodes read as well.
 SLOW_READ_S = 0.8
 # Backoff after failures, doubled up to the maximum.
@@ -62,6 +67,8 @@
     Attributes:
         reads: Reads of the store.
         catch_up_reads: Those of them that were made because this node lags.
+        check_reads: Those of them that were made because this node heard of no
+            other one that reads the store.
         failed: Reads without a usable answer.
         received_bytes: Values in the answers.
         longest_s: Longest time of a read that does not wait for changes.
@@ -69,6 +76,7 @@
 
     reads: int = 0
     catch_up_reads: int = 0
+    check_reads: int = 0
     failed: int = 0
     received_bytes: int = 0
     longest_s: float = 0.0
@@ -92,8 +100,8 @@
 class StoreReader:
     """Keeps the view up to date from the store.
 
-    Reads while the view is empty, while this node is a reader, and while it
-    lags behind its peers.
+    Reads while the view is empty, while this node is a reader, while it lags
+    behind its peers, and while it hears of no node that reads.
 
     Attributes:
         counters: Counts of the reads.
@@ -152,13 +160,11 @@
             await self._read_all()
         elif self._view_sync.is_reader:
             await self._read_changes(self._view_sync.missing_config_versions)
-        elif (
-            self._view_sync.is_behind and self._clock() >= self._catch_up_due_s
+        elif self._clock() >= self._catch_up_due_s and (
+            self._view_sync.is_behind or self._view_sync.hears_no_reader
         ):
             begun_s = self._clock()
-            missing = self._view_sync.missing_config_versions
-            # Peers that are slow to deliver have not announced the newest yet.
-            await self._read_changes(missing + 1 if missing else 0)
+            await self._read_as_follower()
             took_s = self._clock() - begun_s
             pause_s = max(CATCH_UP_PAUSE_S, took_s)
             self._catch_up_due_s = self._clock() + pause_s
@@ -166,6 +172,26 @@
             self._knows_recent_state = False
             await asyncio.sleep(READER_CHECK_INTERVAL_S)
 
+    async def _read_as_follower(self) -> None:
+        """Reads what the peers of this node do not deliver."""
+        if self._view_sync.is_behind:
+            missing = self._view_sync.missing_config_versions
+            # Peers that are slow to deliver have not announced the newest yet.
+            await self._read_changes(missing + 1 if missing else 0)
+            return
+        await asyncio.sleep(self._rng.uniform(0.0, CHECK_SPREAD_S))
+        if not self._view_sync.hears_no_reader:
+            return
+        self.counters.check_reads += 1
+        asked_s = self._clock()
+        if asked_s - self._view_sync.last_store_answer_s < RECENT_ANSWER_S:
+            await self._read_changes(0)
+        else:
+            await self._read_all()
+        if self._view_sync.last_store_answer_s >= asked_s:
+            # Nodes that are cut off together with this one need not read.
+            self._view_sync.announce()
+
     async def _read_changes(self, missing_config_versions: int) -> None:
         if self._plan.wants_whole_state(
             self._view.state_bytes,
@@ -332,6 +358,7 @@
     def _on_success(self) -> None:
         now_s = self._clock()
         self._view_sync.last_store_answer_s = now_s
+        self._view_sync.heartbeats.beat()
         if not self._is_store_unavailable:
             return
         self._is_store_unavailable = False
--- a/magnoliafork/mesh/view_sync.py
+++ b/magnoliafork/mesh/view_sync.py
@@ -24,9 +24,8 @@
 from magnoliafork.wire.api import ControlLinks
 
 # How often a node announces its revision to its neighbours.
-ANNOUNCE_INTERVAL_S = 1.0
-# Somewhat less than three announcement intervals; a peer that sent nothing for
-# longer is treated as gone.
+ANNOUNCE_INTERVAL_S = 0.5
+# A peer that sent nothing for longer is treated as gone.
 PEER_TIMEOUT_S = 2.6
 # A reader counts as having store access if the store answered within this
 # time; a watch without changes takes most of it.
@@ -40,6 +39,9 @@
 # known of too few readers for this long; a new process receives the
 # announcements of the readers within this time.
 TAKEOVER_DELAY_S = ANNOUNCE_INTERVAL_S + 0.2
+# Longest time until a node tells its neighbours of a newer answer of the store;
+# one announcement may be lost.
+TAKEOVER_HOP_S = 2 * ANNOUNCE_INTERVAL_S
 # Longest time between two answers of the store to a reader: a watch and the
 # pause after it.
 STORE_ANSWER_INTERVAL_S = 2.2
@@ -48,8 +50,10 @@
 # Pause between nodes of a zone that take over reading because their views get
 # too old: if the store is away, not all of them read at once.
 TAKEOVER_STEP_S = 0.2
-# Two lost announcements, or late ones, are no silence of the readers.
-HEARTBEAT_TIMEOUT_S = 2.0
+# A node that hears of no reader for longer checks by itself whether there are
+# changes. That and a read of the whole state over a slow link take less than
+# the time in which a change must be in force.
+HEARTBEAT_TIMEOUT_S = 1.2
 # Time after which a request for missing changes is repeated at another peer.
 # A reply of the whole state takes most of it on the slowest links, of 5 Mbit/s.
 REQUEST_TIMEOUT_S = 0.4
@@ -323,7 +327,7 @@
             self._is_live(host, now_s) for host in self._links.neighbours()
         ):
             return True
-        answer_s, hop_s = STORE_ANSWER_INTERVAL_S, ANNOUNCE_INTERVAL_S
+        answer_s, hop_s = STORE_ANSWER_INTERVAL_S, TAKEOVER_HOP_S
         if self._freshness.is_needed:
             answer_s, hop_s = PROVED_ANSWER_INTERVAL_S, ANNOUNCED_STEP_S
         max_age_s = reader_selection.max_view_age_s(
--- a/magnoliafork/tests/mesh/test_lost_sources.py
+++ b/magnoliafork/tests/mesh/test_lost_sources.py
@@ -108,3 +108,42 @@
 def test_storm_is_in_force_in_time_in_random_histories(seed: int) -> None:
     """Losses that overlap, and nodes that start while others are lost."""
     assert change_history.play(seed) == []
+
+
+def check_reads(fleet: LinkedFleet) -> int:
+    return sum(node.reader.counters.check_reads for node in fleet.running())
+
+
+def test_connected_nodes_do_not_check_the_store() -> None:
+    """Every call to the store has a cost, which grows with the fleet."""
+
+    async def test(fleet: LinkedFleet, watcher: Watcher) -> None:
+        before = check_reads(fleet)
+        await watcher.wait(20.0)
+        await watcher.storm(3.0)
+        assert check_reads(fleet) == before
+
+    run(test, 0)
+
+
+def test_store_that_is_away_is_not_called_by_all_nodes() -> None:
+    """Readers run and get no answers; calls of others would get none either."""
+
+    async def test(fleet: LinkedFleet, watcher: Watcher) -> None:
+        before = check_reads(fleet)
+        await watcher.refuse(HOSTS, 8.0)
+        assert check_reads(fleet) == before
+
+    run(test, 0)
+
+
+def test_nodes_that_are_cut_off_together_share_their_reads() -> None:
+    """Each of them would read the store as often as a node that is alone."""
+
+    async def test(fleet: LinkedFleet, watcher: Watcher) -> None:
+        before = check_reads(fleet)
+        await watcher.lose_power(fleet.default_readers(), 3.0)
+        # About one read for each time-out, and a few at the same moment.
+        assert 1 <= check_reads(fleet) - before <= len(HOSTS) / 2
+
+    run(test, 0)
