Read the whole state when a node checks the store

Cause: a node that had read the store in the last three seconds asked for the changes since its view. Those were seven versions, 1.1 MB, which took 1.2 s; the whole state takes 0.18 s. It is read always now, as nobody tells the node how many versions are missing.

--- a/magnoliafork/mesh/store_reader.py
+++ b/magnoliafork/mesh/store_reader.py
@@ -42,8 +42,6 @@
 # Nodes that stop hearing of readers together check the store one after the
 # other within this time; an answer to one of them is a sign for the others.
 CHECK_SPREAD_S = 0.2
-# After an answer as recent as that, few changes can be missing.
-RECENT_ANSWER_S = 3.0
 # Time that a read may take beyond its wait before other nodes read as well.
 SLOW_READ_S = 0.8
 # Backoff after failures, doubled up to the maximum.
@@ -184,10 +182,9 @@
             return
         self.counters.check_reads += 1
         asked_s = self._clock()
-        if asked_s - self._view_sync.last_store_answer_s < RECENT_ANSWER_S:
-            await self._read_changes(0)
-        else:
-            await self._read_all()
+        # Nobody tells how many versions are missing. In a storm, those of two
+        # seconds are more than a slow link carries in time.
+        await self._read_all()
         if self._view_sync.last_store_answer_s >= asked_s:
             # Nodes that are cut off together with this one need not read.
             self._view_sync.announce()
--- a/magnoliafork/tests/mesh/test_lost_sources.py
+++ b/magnoliafork/tests/mesh/test_lost_sources.py
@@ -104,7 +104,7 @@
     run(test, seed)
 
 
-@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("seed", [0, 1, 13])
 def test_storm_is_in_force_in_time_in_random_histories(seed: int) -> None:
     """Losses that overlap, and nodes that start while others are lost."""
     assert change_history.play(seed) == []
