--- a/magnoliafork/wire/control_links.py
+++ b/magnoliafork/wire/control_links.py
@@ -90,7 +90,7 @@
     def set_targets(self, instance_ids: tuple[str, ...]) -> None:
         """Sets the peers to which control connections are kept open."""
         wanted = set(instance_ids) - {self._self_id}
-        for instance_id in set(self._targets) - wanted:
+        for instance_id in sorted(set(self._targets) - wanted):
             self._targets.pop(instance_id).cancel()
         for instance_id in sorted(wanted - set(self._targets)):
             task = asyncio.get_running_loop().create_task(
