Do not take a node that starts for one that reads the store

Cause: a node with an empty view knows no other one and takes itself for a reader. Its announcements carried heartbeats, and the peers that it called took themselves for connected for another 1.2 s. Only nodes with a state make heartbeats now.

--- a/magnoliafork/mesh/view_sync.py
+++ b/magnoliafork/mesh/view_sync.py
@@ -486,7 +486,9 @@
         return is_first
 
     def _announcement(self, now_s: float) -> messages.ViewAnnounce:
-        if self.is_reader:
+        # A node that has just started takes itself for a reader until it knows
+        # others, and has nothing to pass on.
+        if self.is_reader and self._view.revision:
             self.heartbeats.beat()
         age_s = now_s - self.last_store_answer_s
         age_ms = int(min(age_s * 1000, NO_STORE_ACCESS_MS))
--- a/magnoliafork/tests/mesh/test_view_sync.py
+++ b/magnoliafork/tests/mesh/test_view_sync.py
@@ -457,3 +457,18 @@
     assert node.view_sync.lag_s == pytest.approx(0.5)
     cluster.now_s += MAX_LAG_S
     assert node.view_sync.is_behind
+
+
+def test_node_without_a_state_is_not_heard_as_a_reader() -> None:
+    """A node that starts kept its peers from checking the store."""
+    cluster = FakeCluster()
+    starting = FakeNode(cluster, "x9")
+    starting.peers.add("x0")
+    starting.view_sync.tick()
+    announced = [
+        message
+        for source, _, message in cluster.frames
+        if source == "x9" and isinstance(message, messages.ViewAnnounce)
+    ]
+    assert announced
+    assert all(message.heartbeat_id == 0 for message in announced)
