--- a/magnoliafork/mesh/store_reader.py
+++ b/magnoliafork/mesh/store_reader.py
@@ -340,6 +340,7 @@
     def _apply(self, delta: ViewDelta) -> None:
         self._backoff_s = MIN_BACKOFF_S
         self._view.apply(delta)
+        self._view_sync.drop_orphaned()
 
     def _prove(self, asked_s: float, result: ViewDelta) -> None:
         """Records that the view was current when the store was asked.
--- a/magnoliafork/mesh/view_sync.py
+++ b/magnoliafork/mesh/view_sync.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 
 from magnoliafork.mesh import reader_selection
 from magnoliafork.mesh.model import StorePosition
@@ -163,6 +163,10 @@
         self._freshness = freshness
         freshness.on_proved = self.announce
         self._peers: dict[str, _Peer] = {}
+        # Announcements of peers whose links are gone.
+        self._orphaned: collections.deque[_Announced] = collections.deque(
+            maxlen=MAX_PENDING_ANNOUNCEMENTS
+        )
         self._fleet = reader_selection.Fleet(
             own_host, own_zone, {own_zone: [own_host]}
         )
@@ -252,24 +256,38 @@
         return len(
             {
                 announced.config_version
-                for peer in self._peers.values()
-                for announced in peer.pending
+                for announced in self._missing()
                 if announced.config_version > self._view.config_version
             }
         )
 
     def _missing_since_s(self) -> float | None:
         self._drop_reached()
-        return min(
-            (p.pending[0].at_s for p in self._peers.values() if p.pending),
-            default=None,
-        )
+        missing = [a.at_s for a in self._missing() if self._lacks(a)]
+        return min(missing, default=None)
+
+    def _missing(self) -> Iterator[_Announced]:
+        """Returns the announcements that this node has kept."""
+        yield from self._orphaned
+        for peer in self._peers.values():
+            yield from peer.pending
 
     def _drop_reached(self) -> None:
         """Drops the announcements of states that this node has reached."""
-        for peer in self._peers.values():
-            while peer.pending and not self._lacks(peer.pending[0]):
-                peer.pending.popleft()
+        for pending in (
+            self._orphaned,
+            *(peer.pending for peer in self._peers.values()),
+        ):
+            while pending and not self._lacks(pending[0]):
+                pending.popleft()
+
+    def drop_orphaned(self) -> None:
+        """Drops the announcements of lost peers after a read of the store.
+
+        The store has what they announced, or it was restored and has it no
+        more.
+        """
+        self._orphaned.clear()
 
     def _lacks(self, announced: _Announced) -> bool:
         return (
@@ -292,12 +310,7 @@
 
     def _on_changes(self, _: Sequence[Change]) -> None:
         now_s = self._clock()
-        reached_at_s = [
-            announced.at_s
-            for peer in self._peers.values()
-            for announced in peer.pending
-            if not self._lacks(announced)
-        ]
+        reached_at_s = [a.at_s for a in self._missing() if not self._lacks(a)]
         self.applied_lag_s = now_s - min(reached_at_s, default=now_s)
         self._drop_reached()
         self.announce()
@@ -543,8 +556,10 @@
         self._links.send(host, self._with_clock(message, host))
 
     def on_link_down(self, instance_id: str) -> None:
-        """Forgets a neighbour."""
-        self._peers.pop(instance_id, None)
+        """Forgets a neighbour, but not that it had more than this node."""
+        peer = self._peers.pop(instance_id, None)
+        if peer is not None:
+            self._orphaned.extend(peer.pending)
         if instance_id == self._requested_from:
             self._requested_from = ""
 
--- a/magnoliafork/tests/mesh/test_view_sync.py
+++ b/magnoliafork/tests/mesh/test_view_sync.py
@@ -459,6 +459,22 @@
     assert node.view_sync.is_behind
 
 
+def test_change_that_a_lost_peer_has_announced_is_still_missing() -> None:
+    """A node forgot that it was behind when the link of its peer closed."""
+    cluster = FakeCluster()
+    node = cluster.nodes["x1"]
+    delta = cluster.publish(2)
+    node.view_sync.on_control(
+        "x2", messages.ViewAnnounce(delta.revision, 0, 3_600_000)
+    )
+    node.view_sync.on_link_down("x2")
+    cluster.now_s += MAX_LAG_S + 0.1
+    assert node.view_sync.is_behind
+    # The store does not have it: the peer lost power before it was restored.
+    node.view_sync.drop_orphaned()
+    assert not node.view_sync.is_behind
+
+
 def test_node_without_a_state_is_not_heard_as_a_reader() -> None:
     """A node that starts kept its peers from checking the store."""
     cluster = FakeCluster()
