--- a/magnoliafork/mesh/store_reader.py
+++ b/magnoliafork/mesh/store_reader.py
@@ -373,6 +373,8 @@
         self._log.info(Event.STORE_AVAILABLE, view_revision=self._view.revision)
 
     async def _on_failure(self, detail: str) -> None:
+        # Until the next answer, there may be many versions.
+        self._knows_recent_state = False
         if not self._is_store_unavailable:
             self._is_store_unavailable = True
             self._failing_since_s = self._view_sync.earliest_outage_start_s()
--- a/magnoliafork/tests/mesh/test_store_reader.py
+++ b/magnoliafork/tests/mesh/test_store_reader.py
@@ -16,6 +16,7 @@
     REWRITE_S,
     Fleet,
 )
+from magnoliafork.tests.mesh.test_view_sync_bandwidth import PublishedRoutes
 from magnoliafork.wire.messages import ViewAnnounce
 
 HOSTS = ("x0", "x1", "x2", "y0", "y1", "y2")
@@ -218,3 +219,26 @@
         assert 1 <= ended["reads"] <= node.reader.counters.catch_up_reads
 
     run(test, 0)
+
+
+def test_reader_reads_the_whole_state_after_an_outage() -> None:
+    """It fetched each version of that time, which took seconds."""
+
+    async def test(fleet: Fleet) -> None:
+        host = fleet.default_readers()[0]
+        fleet.kill(*(other for other in HOSTS if other != host))
+        node, counters = fleet.nodes[host], fleet.nodes[host].reader.counters
+        fleet.store.refused = {host}
+        await asyncio.sleep(3.0)
+        routes = PublishedRoutes(100)
+        for version in range(2, 30):
+            fleet.store.publish(version, routes.value(version))
+        before = counters.received_bytes
+        fleet.store.refused = set()
+        await asyncio.sleep(3.0)
+        assert node.view.config_version == 29
+        received_bytes = counters.received_bytes - before
+        # One read, and a second one in case that changes go on as quickly.
+        assert received_bytes <= 2 * node.view.state_bytes
+
+    run(test, 0)
